Add the view of entries and peer messages to the reducer

Cause: once-only work and membership both need to address other entries. Change: gossiper.View holds known entries; Node.send addresses one incarnation. Measured: the existing tests pass. No load was run. Conclusion: once-only work and membership can be written side by side.

--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -67,9 +67,11 @@
 
 // Send gives a message to another entry.
 type Send struct {
-	To      string
-	Address netip.AddrPort
-	Message PeerMessage
+	To string
+	// Incarnation is the one that the message is meant for; others drop it. 0 means any.
+	Incarnation uint64
+	Address     netip.AddrPort
+	Message     PeerMessage
 }
 
 // ReadLog reads a stream from an offset.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -105,8 +105,10 @@
 // PeerMessageReceived delivers a message of another entry.
 type PeerMessageReceived struct {
 	Stamp
-	From    string
-	Message PeerMessage
+	From string
+	// FromIncarnation is the sender's incarnation.
+	FromIncarnation uint64
+	Message         PeerMessage
 }
 
 // PeerUnreachable reports that a message could not be delivered.
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 	"github.com/azuretrestle/azuretrestle/internal/versioner"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
@@ -35,12 +36,18 @@
 	services map[string]*service
 	requests map[RequestID]*request
 	config   configuration
+	view     *gossiper.View
 }
 
 // New returns a node that has not started; Start gives its first effects.
 func New(o Options) *Node {
+	self := gossiper.Entry{
+		Name: o.Name, Incarnation: o.Incarnation, PeerAddress: o.PeerAddress,
+		CallerAddress: o.CallerAddress, DataCentre: o.DataCentre,
+	}
 	return &Node{
 		Options:  o,
+		view:     gossiper.NewView(self),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Incarnation)),
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
@@ -85,6 +92,8 @@
 		n.appendFinished(ev)
 	case PatchSubmitted:
 		n.patchSubmitted(ev)
+	case PeerMessageReceived:
+		n.peerMessage(ev)
 	}
 }
 
