Decide once-only keys by owner, witness and fence

Cause: ranks of kind OnceOnly were queued like lookups, so a repeat of a key ran again. Change: deduplicator holds the two tables as plain values. A claim on a key is a holder (name, incarnation, sequence); the witness moves the right only from the claim that its holder barred, and a barred sequence is never used again, so late and repeated messages change nothing. The reducer asks the witness before a request is queued and fences the owner on a repeat. A request refused as not run that was not a first attempt closes its key, because an earlier attempt might otherwise run it later. Refusals before the key is read answer unknown for such a request. Requests whose deadline passed in the queue are no longer dispatched.

--- /dev/null
+++ b/internal/deduplicator/table_test.go
@@ -0,0 +1,237 @@
+package deduplicator_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+const (
+	keyID = "01890a5d-ac96-774b-bcce-b302099a8057"
+	// keyText was created at 1688349715606 ms.
+	keyText = keyID + "@e2.17"
+)
+
+var created = time.UnixMilli(0x01890a5dac96)
+
+// TestParseKey guards against two spellings of one key, which would be two keys
+// to the witness, and against keys without a witness or a creation time.
+func TestParseKey(t *testing.T) {
+	for text, valid := range map[string]bool{
+		keyText:                                  true,
+		keyID + "@a.b-c_d.1":                     true,
+		keyID + "@e2.18446744073709551615":       true,
+		keyID + "@e2.18446744073709551616":       false,
+		"":                                       false,
+		keyID:                                    false,
+		keyID + "@e2":                            false,
+		keyID + "@.17":                           false,
+		keyID + "@e2.":                           false,
+		keyID + "@e2.017":                        false,
+		keyID + "@e2.+17":                        false,
+		keyID + "@e2.17 ":                        false,
+		keyID + "@e 2.17":                        false,
+		keyID + "@e2@e3.17":                      false,
+		strings.ToUpper(keyID) + "@e2.17":        false,
+		"{" + keyID + "}@e2.17":                  false,
+		"urn:uuid:" + keyID + "@e2.17":           false,
+		strings.Repeat("x", 36) + "@e2.17":       false,
+		strings.ReplaceAll(keyText, "-", ""):     false,
+		keyID[:14] + "4" + keyID[15:] + "@e2.17": false,
+		keyID + "@" + strings.Repeat("n", 64) + ".17":    false,
+		"01890a5d-ac96-774b-1cce-b302099a8057@e2.17":     false,
+		"01890a5d-ac96-774b-bcce-b302099a8057@e2.17\x00": false,
+	} {
+		t.Run(text, func(t *testing.T) {
+			is := is.New(t)
+			k, err := deduplicator.ParseKey(text)
+			is.Equal(err == nil, valid)
+			if valid {
+				is.Equal(k.String(), text)
+				is.True(k.Created().Equal(created))
+			}
+		})
+	}
+}
+
+func holder(name string, sequence uint64) deduplicator.Holder {
+	return deduplicator.Holder{Name: name, Incarnation: 1, Sequence: sequence}
+}
+
+func intent(owner, barred deduplicator.Holder) deduplicator.Intent {
+	return deduplicator.Intent{Key: keyText, BodyDigest: 5, Owner: owner, Barred: barred}
+}
+
+// TestWitnessDecide guards against a second grant of a key in any order of requests.
+func TestWitnessDecide(t *testing.T) {
+	a, a2, b, c := holder("a", 1), holder("a", 2), holder("b", 1), holder("c", 1)
+	none := deduplicator.Holder{}
+	otherBody := intent(a, none)
+	otherBody.BodyDigest = 6
+	otherWitness := intent(a, none)
+	otherWitness.Key = keyID + "@e2.18"
+	denied := func(r deduplicator.Reason, owner deduplicator.Holder) deduplicator.Denial {
+		return deduplicator.Denial{Key: keyText, Sequence: 1, Reason: r, Owner: owner}
+	}
+	grant := deduplicator.Grant{Key: keyText, Sequence: 1}
+	for name, tt := range map[string]struct {
+		before []deduplicator.Intent
+		intent deduplicator.Intent
+		age    time.Duration
+		want   deduplicator.Reply
+	}{
+		"new key":                {nil, intent(a, none), 0, grant},
+		"repeated":               {[]deduplicator.Intent{intent(a, none)}, intent(a, none), 0, grant},
+		"other entry":            {[]deduplicator.Intent{intent(a, none)}, intent(b, none), 0, denied(deduplicator.Owned, a)},
+		"later claim":            {[]deduplicator.Intent{intent(a2, none)}, intent(a, none), 0, denied(deduplicator.Owned, a2)},
+		"moved":                  {[]deduplicator.Intent{intent(a, none)}, intent(b, a), 0, grant},
+		"moved from another":     {[]deduplicator.Intent{intent(a, none)}, intent(b, c), 0, denied(deduplicator.Owned, a)},
+		"late first claim":       {[]deduplicator.Intent{intent(a, none), intent(b, a)}, intent(a, none), 0, denied(deduplicator.Owned, b)},
+		"late move":              {[]deduplicator.Intent{intent(a, none), intent(b, a), intent(c, b)}, intent(b, a), 0, denied(deduplicator.Owned, c)},
+		"moved without a record": {nil, intent(b, a), 0, denied(deduplicator.Expired, none)},
+		"other body":             {[]deduplicator.Intent{intent(a, none)}, otherBody, 0, denied(deduplicator.Reused, none)},
+		"last moment":            {nil, intent(a, none), deduplicator.Retention - 1, grant},
+		"expired":                {nil, intent(a, none), deduplicator.Retention, denied(deduplicator.Expired, none)},
+		"expired but on record":  {[]deduplicator.Intent{intent(a, none)}, intent(b, none), deduplicator.Retention, denied(deduplicator.Owned, a)},
+		"record expired":         {[]deduplicator.Intent{intent(a, none)}, intent(b, none), 2 * deduplicator.Retention, denied(deduplicator.Expired, none)},
+		"from the future":        {nil, intent(a, none), -2 * time.Minute, denied(deduplicator.Expired, none)},
+		"other incarnation": {
+			nil, otherWitness, 0,
+			deduplicator.Denial{Key: otherWitness.Key, Sequence: 1, Reason: deduplicator.Lost},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			w := deduplicator.NewWitnessTable("e2", 17, deduplicator.Limits{})
+			for _, m := range tt.before {
+				w.Decide(created, m)
+			}
+			is.Equal(w.Decide(created.Add(tt.age), tt.intent), tt.want)
+		})
+	}
+}
+
+// TestWitnessClockGoesBack guards against a second grant after the record
+// expired and the host's clock was set back.
+func TestWitnessClockGoesBack(t *testing.T) {
+	is := is.New(t)
+	w := deduplicator.NewWitnessTable("e2", 17, deduplicator.Limits{})
+	w.Decide(created, intent(holder("a", 1), deduplicator.Holder{}))
+	w.Store(created.Add(time.Hour), deduplicator.ResultCopy{})
+	d, ok := w.Decide(created, intent(holder("b", 1), deduplicator.Holder{})).(deduplicator.Denial)
+	is.True(ok)
+	is.Equal(d.Reason, deduplicator.Expired)
+}
+
+// TestWitnessFull guards against unbounded memory and against a live key that
+// is dropped to make room.
+func TestWitnessFull(t *testing.T) {
+	is := is.New(t)
+	w := deduplicator.NewWitnessTable("e2", 17, deduplicator.Limits{Keys: 1})
+	a := holder("a", 1)
+	other := intent(holder("b", 1), deduplicator.Holder{})
+	other.Key = "01890a5d-ac96-774b-bcce-b302099a8058@e2.17"
+	w.Decide(created, intent(a, deduplicator.Holder{}))
+	is.Equal(w.Decide(created, other), deduplicator.Denial{Key: other.Key, Sequence: 1, Reason: deduplicator.Full})
+	is.Equal(w.Decide(created, intent(a, deduplicator.Holder{})), deduplicator.Grant{Key: keyText, Sequence: 1})
+}
+
+// TestStoredResults guards against results of a claim without the right, and
+// against stored answers beyond their limits, which must be forgotten as bodies only.
+func TestStoredResults(t *testing.T) {
+	done := func(size int) deduplicator.Result {
+		return deduplicator.Result{Outcome: classifier.OutcomeDone, Status: 200, Kept: true, Body: make([]byte, size)}
+	}
+	for name, tt := range map[string]struct {
+		owner  deduplicator.Holder
+		size   int
+		stored bool
+		kept   bool
+	}{
+		"empty":        {holder("a", 1), 0, true, true},
+		"largest":      {holder("a", 1), deduplicator.MaxBody, true, true},
+		"too large":    {holder("a", 1), deduplicator.MaxBody + 1, true, false},
+		"other claim":  {holder("a", 2), 1, false, false},
+		"out of bytes": {holder("a", 1), 101, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			limits := deduplicator.Limits{}
+			if name == "out of bytes" {
+				limits.Bytes = 100
+			}
+			w := deduplicator.NewWitnessTable("e2", 17, limits)
+			w.Decide(created, intent(holder("a", 1), deduplicator.Holder{}))
+			w.Store(created, deduplicator.ResultCopy{Key: keyText, Owner: tt.owner, Result: done(tt.size)})
+			d := w.Decide(created, intent(holder("b", 1), deduplicator.Holder{})).(deduplicator.Denial)
+			is.Equal(d.Result != nil, tt.stored)
+			if tt.stored {
+				is.Equal(d.Result.Kept, tt.kept)
+				is.Equal(len(d.Result.Body) > 0, tt.kept && tt.size > 0)
+			}
+		})
+	}
+}
+
+// TestFence guards against a dispatch after the owner said that there will be none.
+func TestFence(t *testing.T) {
+	fence := func(s uint64) deduplicator.Fence {
+		return deduplicator.Fence{Key: keyText, Owner: holder("a", s)}
+	}
+	for name, tt := range map[string]struct {
+		do       func(*deduplicator.Record)
+		sequence uint64
+		want     deduplicator.State
+		mayRun   bool
+	}{
+		"not granted":       {func(*deduplicator.Record) {}, 1, deduplicator.Barred, false},
+		"granted":           {func(r *deduplicator.Record) { r.Grant(1) }, 1, deduplicator.Barred, false},
+		"dispatched":        {func(r *deduplicator.Record) { r.Grant(1); r.Dispatch() }, 1, deduplicator.InProgress, false},
+		"refused upstream":  {func(r *deduplicator.Record) { r.Grant(1); r.Dispatch(); r.NotRun() }, 1, deduplicator.Barred, false},
+		"finished":          {func(r *deduplicator.Record) { r.Finish(deduplicator.Result{}) }, 1, deduplicator.Finished, false},
+		"claim of the past": {func(r *deduplicator.Record) { r.Grant(1) }, 0, deduplicator.Forgotten, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := deduplicator.NewOwnerTable(deduplicator.Limits{})
+			r, isNew, code := table.Open(created, keyText, 5)
+			is.True(isNew)
+			is.Equal(code, classifier.OK)
+			tt.do(r)
+			is.Equal(table.Fence(fence(tt.sequence)).State, tt.want)
+			r.Grant(1)
+			is.Equal(r.Dispatch(), tt.mayRun)
+			if tt.want == deduplicator.Barred {
+				is.Equal(table.Fence(fence(tt.sequence)).State, deduplicator.Barred)
+			}
+		})
+	}
+}
+
+// TestForgottenRecord guards against an owner that takes a key it has forgotten
+// for one it never dispatched, and against forgetting a key that is in use.
+func TestForgottenRecord(t *testing.T) {
+	is := is.New(t)
+	table := deduplicator.NewOwnerTable(deduplicator.Limits{Keys: 1})
+	old, _, _ := table.Open(created, keyText, 5)
+	old.Hold()
+	_, _, code := table.Open(created, "other", 5)
+	is.Equal(code, classifier.QueueFull)
+	_, _, code = table.Open(created, keyText, 6)
+	is.Equal(code, classifier.KeyReused)
+	later := created.Add(2 * deduplicator.Retention)
+	r, isNew, _ := table.Open(later, keyText, 5)
+	is.True(!isNew)
+	is.Equal(r, old)
+	old.Release()
+	r, isNew, _ = table.Open(later.Add(deduplicator.Retention), keyText, 5)
+	is.True(isNew)
+	fence := deduplicator.Fence{Key: keyText, Owner: holder("a", old.Sequence())}
+	is.Equal(table.Fence(fence).State, deduplicator.Forgotten)
+	is.True(r.Sequence() > old.Sequence())
+}
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -67,7 +67,8 @@
 	Report *balancer.Report
 	// Draining is set if the upstream said that it is leaving.
 	Draining bool
-	// Body is the answer's body where it is to be stored for repeats of a key.
+	// Body is the whole body of the answer where it is to be stored for repeats
+	// of a key: nil if it is not stored, empty if the answer has no body.
 	Body []byte
 	// ContentType goes with Body.
 	ContentType string
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -37,6 +37,7 @@
 	requests map[RequestID]*request
 	config   configuration
 	view     *gossiper.View
+	once     onceOnly
 }
 
 // New returns a node that has not started; Start gives its first effects.
@@ -51,6 +52,7 @@
 		random:   rand.New(rand.NewPCG(o.Seed, o.Incarnation)),
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
+		once:     newOnceOnly(o),
 		config:   configuration{log: versioner.NewLog(), patches: make(map[string]*submission)},
 	}
 }
@@ -94,6 +96,8 @@
 		n.patchSubmitted(ev)
 	case PeerMessageReceived:
 		n.peerMessage(ev)
+	case KeysAsked:
+		n.keysAsked(ev)
 	}
 }
 
--- a/internal/reducer/peer.go
+++ b/internal/reducer/peer.go
@@ -1,16 +1,55 @@
 package reducer
 
-// send gives a message to another entry; a name that is not known is dropped
-// and counts as an entry that does not answer.
+import "github.com/azuretrestle/azuretrestle/internal/deduplicator"
+
+// send gives a message to the known incarnation of another entry; a name that
+// is not known is dropped and counts as an entry that does not answer.
+//
+//nolint:unused // Membership and configuration messages are addressed this way.
 func (n *Node) send(to string, m PeerMessage) {
+	if e, ok := n.view.Find(to); ok {
+		n.sendTo(to, e.Incarnation, m)
+	}
+}
+
+// sendTo gives a message to one incarnation of another entry.
+func (n *Node) sendTo(to string, incarnation uint64, m PeerMessage) {
 	e, ok := n.view.Find(to)
 	if !ok {
 		return
 	}
-	n.emit(Send{To: to, Incarnation: e.Incarnation, Address: e.PeerAddress, Message: m})
+	n.emit(Send{To: to, Incarnation: incarnation, Address: e.PeerAddress, Message: m})
 }
 
 // peerMessage handles a message; the driver has already dropped those that
 // were meant for another incarnation of this entry.
-func (n *Node) peerMessage(_ PeerMessageReceived) {
+func (n *Node) peerMessage(ev PeerMessageReceived) {
+	switch m := ev.Message.(type) {
+	case Intent:
+		n.intentReceived(ev, m.Intent)
+	case Grant:
+		if n.fromWitness(ev, m.Key) {
+			n.witnessReplied(m.Grant)
+		}
+	case Denial:
+		if n.fromWitness(ev, m.Key) {
+			n.witnessReplied(m.Denial)
+		}
+	case Fence:
+		n.fenceReceived(ev, m.Fence)
+	case FenceAnswer:
+		if m.Owner.Name == ev.From && m.Owner.Incarnation == ev.FromIncarnation {
+			n.fenceAnswered(m.FenceAnswer)
+		}
+	case ResultCopy:
+		if m.Owner.Name == ev.From && m.Owner.Incarnation == ev.FromIncarnation {
+			n.once.witness.Store(n.now, m.ResultCopy)
+		}
+	}
+}
+
+// fromWitness reports whether the sender is the incarnation that the key names.
+func (n *Node) fromWitness(ev PeerMessageReceived, key string) bool {
+	k, err := deduplicator.ParseKey(key)
+	return err == nil && k.Witness == ev.From && k.WitnessIncarnation == ev.FromIncarnation
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -38,6 +38,8 @@
 	mayHaveRun bool
 	attempts   []*attempt
 	timer      *timer
+	// once is nil unless the rank is once-only.
+	once *onceRequest
 }
 
 // attempt is one dispatch of a request.
@@ -64,12 +66,12 @@
 func (n *Node) requestArrived(ev RequestArrived) {
 	s, ok := n.services[ev.Service]
 	if !ok || s.removed {
-		n.refuse(ev.ID, classifier.UnknownService)
+		n.refuseArrival(ev, classifier.UnknownService)
 		return
 	}
 	rank, ok := s.config.Rank(ev.Rank)
 	if !ok {
-		n.refuse(ev.ID, classifier.UnknownRank)
+		n.refuseArrival(ev, classifier.UnknownRank)
 		return
 	}
 	r := &request{id: ev.ID, service: s, rank: *rank, replayable: ev.Replayable}
@@ -77,6 +79,10 @@
 	if !ev.Deadline.IsZero() && ev.Deadline.Before(r.deadline) {
 		r.deadline = ev.Deadline
 	}
+	if rank.Kind == patcher.OnceOnly {
+		n.onceArrived(r, ev)
+		return
+	}
 	n.requests[ev.ID] = r
 	n.enqueue(r)
 }
@@ -84,8 +90,7 @@
 func (n *Node) enqueue(r *request) {
 	code := r.service.queue.Offer(n.now, admitter.Item{ID: uint64(r.id), Rank: r.rank.Name, Deadline: r.deadline})
 	if code != classifier.OK {
-		n.end(r)
-		n.refuse(r.id, code)
+		n.refuseRequest(r, code)
 		return
 	}
 	r.queued = true
@@ -103,6 +108,11 @@
 			return
 		}
 		r := n.requests[RequestID(it.ID)]
+		if !n.now.Before(r.deadline) {
+			r.queued = false
+			n.refuseRequest(r, classifier.DeadlinePassed)
+			continue
+		}
 		choice, ok := s.pool.Pick(n.now, r.tried())
 		if !ok {
 			s.queue.Offer(n.now, it)
@@ -114,6 +124,11 @@
 }
 
 func (n *Node) dispatch(r *request, c balancer.Choice) {
+	if r.once != nil && !r.once.claim.record.Dispatch() {
+		r.service.pool.Finish(n.now, c.Name, balancer.Feedback{Failure: balancer.FailureCancelled})
+		n.refuseRequest(r, classifier.KeyInProgress)
+		return
+	}
 	a := &attempt{
 		id:       AttemptID{Request: r.id, Number: uint32(len(r.attempts)) + 1},
 		upstream: c.Name,
@@ -124,7 +139,7 @@
 	n.emit(Dispatch{
 		Attempt: a.id, Service: r.service.config.Name, Rank: r.rank.Name,
 		Upstream: c.Name, Address: c.Address, Connections: c.Connections,
-		Deadline: r.deadline, Fresh: c.Fresh,
+		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil,
 	})
 }
 
@@ -165,9 +180,11 @@
 		n.pump(r.service)
 		return
 	}
-	r.relayed = true
-	n.emit(Relay{Attempt: a.id})
-	if ev.Whole {
+	r.relayed = r.once == nil || n.onceAnswered(r, ev)
+	if r.relayed {
+		n.emit(Relay{Attempt: a.id})
+	}
+	if ev.Whole || !r.relayed {
 		n.close(r, a, balancer.Feedback{Draining: ev.Draining, Report: ev.Report})
 		n.end(r)
 		n.pump(r.service)
@@ -221,13 +238,16 @@
 	if outcome != classifier.OutcomeNotRun {
 		r.mayHaveRun = true
 	}
+	if r.once != nil && !r.mayHaveRun && !n.onceNotRun(r) {
+		n.end(r)
+		return
+	}
 	safe := !r.mayHaveRun || r.rank.Kind == patcher.Idempotent
 	if safe && r.replayable && len(r.attempts) < maxAttempts && n.now.Before(r.deadline) {
 		n.enqueue(r)
 		return
 	}
-	n.end(r)
-	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome()})
+	n.refuseRequest(r, code)
 }
 
 // outcome is that of a request which ends without an answer.
@@ -244,12 +264,11 @@
 		return
 	}
 	n.cancelAttempts(r, balancer.FailureTimeout)
-	n.end(r)
 	code := classifier.DeadlinePassed
 	if r.mayHaveRun {
 		code = classifier.UpstreamTimeout
 	}
-	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome()})
+	n.refuseRequest(r, code)
 	n.pump(r.service)
 }
 
@@ -268,6 +287,10 @@
 	if !ok {
 		return
 	}
+	if r.once != nil {
+		n.onceCallerGone(r)
+		return
+	}
 	n.cancelAttempts(r, balancer.FailureCancelled)
 	n.end(r)
 	n.pump(r.service)
@@ -279,6 +302,9 @@
 	}
 	n.timers.stop(r.timer)
 	delete(n.requests, r.id)
+	if r.once != nil {
+		n.onceEnd(r)
+	}
 }
 
 func (n *Node) refuse(id RequestID, code classifier.Code) {
