--- /dev/null
+++ b/internal/checker/request.go
@@ -0,0 +1,161 @@
+package checker
+
+import (
+	"bytes"
+
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+// attemptKey identifies an attempt in the whole trace.
+type attemptKey struct {
+	request requestKey
+	number  uint32
+}
+
+func (s Step) attempt(a reducer.AttemptID) attemptKey {
+	return attemptKey{s.request(a.Request), a.Number}
+}
+
+// answers follows which answers exist and which requests have ended.
+type answers struct {
+	arrivals map[requestKey]arrival
+	arrived  map[requestKey]bool
+	ended    map[requestKey]bool
+	answered map[attemptKey]bool
+	byKey    map[string][]storedAnswer
+}
+
+type storedAnswer struct {
+	reducer.UpstreamAnswered
+	digest uint64
+}
+
+// checkAnswers checks I2: a request ends once, a relayed answer is that of an
+// attempt of the request, and a stored one is that of the same key and body.
+func checkAnswers(t Trace, _ Limits) []Violation {
+	a := answers{
+		arrivals: arrivals(t), arrived: make(map[requestKey]bool), ended: make(map[requestKey]bool),
+		answered: make(map[attemptKey]bool), byKey: make(map[string][]storedAnswer),
+	}
+	var out []Violation
+	for _, s := range steps(t) {
+		a.note(s)
+		for _, e := range s.Effects {
+			if problem := a.check(s, e); problem != "" {
+				out = append(out, s.violation("I2", "%s: %+v", problem, e))
+			}
+		}
+	}
+	return out
+}
+
+func (a *answers) note(s Step) {
+	switch ev := s.Event.(type) {
+	case reducer.RequestArrived:
+		a.arrived[s.request(ev.ID)] = true
+	case reducer.UpstreamAnswered:
+		if ev.NotRun {
+			return
+		}
+		a.answered[s.attempt(ev.Attempt)] = true
+		r := a.arrivals[s.request(ev.Attempt.Request)]
+		if r.Key != "" && ev.Whole {
+			a.byKey[r.Key] = append(a.byKey[r.Key], storedAnswer{ev, r.BodyDigest})
+		}
+	}
+}
+
+func (a *answers) check(s Step, e reducer.Effect) string {
+	id, ok := ended(e)
+	if !ok {
+		return ""
+	}
+	r := s.request(id)
+	if !a.arrived[r] {
+		return "answer to a request that did not arrive"
+	}
+	if a.ended[r] {
+		return "second answer to a request"
+	}
+	a.ended[r] = true
+	switch e := e.(type) {
+	case reducer.Relay:
+		if !a.answered[s.attempt(e.Attempt)] {
+			return "relay of an attempt without an answer"
+		}
+	case reducer.AnswerStored:
+		if !a.stored(a.arrivals[r], e) {
+			return "stored answer that no upstream gave to this key and body"
+		}
+	}
+	return ""
+}
+
+func (a *answers) stored(r arrival, e reducer.AnswerStored) bool {
+	for _, have := range a.byKey[r.Key] {
+		same := have.Status == e.Status && have.ContentType == e.ContentType && bytes.Equal(have.Body, e.Body)
+		if same && have.digest == r.BodyDigest {
+			return true
+		}
+	}
+	return false
+}
+
+// checkNotRun checks I3. A once-only request that is refused as not run must
+// not run through an earlier request with its key either, before or later.
+func checkNotRun(t Trace, _ Limits) []Violation {
+	requests := arrivals(t)
+	ran := make(map[requestKey]bool)
+	byKey := make(map[string][]requestKey)
+	for _, r := range t {
+		if r, ok := r.(Run); ok {
+			key := requests[r.request()].Key
+			ran[r.request()] = true
+			byKey[key] = append(byKey[key], r.request())
+		}
+	}
+	var out []Violation
+	for _, s := range steps(t) {
+		for _, e := range s.Effects {
+			refusal, ok := e.(reducer.Refuse)
+			if !ok || refusal.Outcome != classifier.OutcomeNotRun {
+				continue
+			}
+			self := s.request(refusal.ID)
+			if ran[self] {
+				out = append(out, s.violation("I3", "request %d ran", refusal.ID))
+			}
+			key := requests[self].Key
+			for _, other := range byKey[key] {
+				if key != "" && other != self && requests[other].order < requests[self].order {
+					out = append(out, s.violation("I3", "key %s ran through request %d on %s", key, other.id, other.node))
+				}
+			}
+		}
+	}
+	return out
+}
+
+// checkOnce checks I4.
+func checkOnce(t Trace, _ Limits) []Violation {
+	requests := arrivals(t)
+	runs := make(map[string]int)
+	var out []Violation
+	for _, r := range t {
+		r, ok := r.(Run)
+		if !ok {
+			continue
+		}
+		key := requests[r.request()].Key
+		if key == "" {
+			continue
+		}
+		runs[key]++
+		if runs[key] > 1 {
+			s := Step{At: r.At, Node: r.Node}
+			out = append(out, s.violation("I4", "key %s ran %d times", key, runs[key]))
+		}
+	}
+	return out
+}
