--- a/internal/parser/doc.go
+++ b/internal/parser/doc.go
@@ -1,2 +1,3 @@
-// Package parser reads settings and patch files.
+// Package parser reads the INI settings of an entry and INI patch files, and
+// reports all problems of a file at once.
 package parser
--- a/pkg/patcher/patch.go
+++ b/pkg/patcher/patch.go
@@ -23,6 +23,14 @@
 // PutService adds a service or replaces it as a whole.
 type PutService struct{ Service }
 
+// EditService adds a service without ranks and upstreams, or changes the values
+// of one that exists and keeps its ranks and upstreams.
+type EditService struct {
+	Name            string
+	MeasuringBudget float64
+	MaxEntries      int
+}
+
 // RemoveService removes a service with all its ranks and upstreams.
 type RemoveService struct{ Name string }
 
@@ -45,6 +53,7 @@
 type RemoveUpstream struct{ InService, Name string }
 
 func (PutService) operation()     {}
+func (EditService) operation()    {}
 func (RemoveService) operation()  {}
 func (PutRank) operation()        {}
 func (RemoveRank) operation()     {}
@@ -60,6 +69,7 @@
 
 type wireOperation struct {
 	PutService     *PutService     `json:",omitempty"`
+	EditService    *EditService    `json:",omitempty"`
 	RemoveService  *RemoveService  `json:",omitempty"`
 	PutRank        *PutRank        `json:",omitempty"`
 	RemoveRank     *RemoveRank     `json:",omitempty"`
@@ -75,6 +85,8 @@
 		switch op := op.(type) {
 		case PutService:
 			o.PutService = &op
+		case EditService:
+			o.EditService = &op
 		case RemoveService:
 			o.RemoveService = &op
 		case PutRank:
@@ -113,6 +125,9 @@
 	if o.PutService != nil {
 		ops = append(ops, *o.PutService)
 	}
+	if o.EditService != nil {
+		ops = append(ops, *o.EditService)
+	}
 	if o.RemoveService != nil {
 		ops = append(ops, *o.RemoveService)
 	}
@@ -157,6 +172,9 @@
 	case PutService:
 		c.Services = put(c.Services, op.sorted(), serviceName)
 		return nil
+	case EditService:
+		c.Services = put(c.Services, op.over(c), serviceName)
+		return nil
 	case RemoveService:
 		return remove(&c.Services, op.Name, serviceName)
 	case PutRank:
@@ -178,6 +196,17 @@
 	}
 }
 
+func (e EditService) over(c *Config) Service {
+	var s Service
+	if have, ok := c.Service(e.Name); ok {
+		s = *have
+	}
+	s.Name = e.Name
+	s.MeasuringBudget = e.MeasuringBudget
+	s.MaxEntries = e.MaxEntries
+	return s
+}
+
 func (c *Config) edit(service string, f func(*Service) error) error {
 	s, ok := c.Service(service)
 	if !ok {
