Add the administration interface

Cause: operators could reach a node only from Go code. Change: internal/administrator serves the configuration, patches, audit trail, status, health and metrics; tokens name the operator of a patch, and without tokens only the same host may call. Certificates are read again when their files change. Code 506 NotOffered answers calls that an entry doesn't offer. Measured: 12 cases of authorisation, 13 replies and a certificate change behave as expected, also under the race detector. No load was run. Conclusion: the commands can use the client in the same package. The audit trail is served once an entry implements Trail.

--- /dev/null
+++ b/internal/administrator/administrator_test.go
@@ -0,0 +1,205 @@
+package administrator
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/pem"
+	"errors"
+	"math/big"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+const token = "0123456789abcdef0123"
+
+// fakeNode answers every patch with the same verdict and keeps the last one.
+type fakeNode struct {
+	answer reducer.AnswerPatch
+	silent bool
+	got    patcher.Patch
+}
+
+func (n *fakeNode) Submit(ctx context.Context, p patcher.Patch) (reducer.AnswerPatch, error) {
+	n.got = p
+	if n.silent {
+		<-ctx.Done()
+		return reducer.AnswerPatch{}, ctx.Err()
+	}
+	return n.answer, nil
+}
+
+func (n *fakeNode) View(f func(*reducer.Node)) { f(reducer.New(reducer.Options{Name: "e1"})) }
+
+func call(a *Administrator, method, path, from, auth, body string) *httptest.ResponseRecorder {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.RemoteAddr = from
+	r.Host = "127.0.0.1:8301"
+	if auth != "" {
+		r.Header.Set("Authorization", auth)
+	}
+	r.Header.Set("Content-Type", "application/json")
+	w := httptest.NewRecorder()
+	a.ServeHTTP(w, r)
+	return w
+}
+
+const removal = `{"Base":0,"Actor":"mallory","Operations":[{"RemoveService":{"Name":"Tickets"}}]}`
+
+// TestAuthorisation guards against a change by someone without a token, and
+// against an actor that the sender chose.
+func TestAuthorisation(t *testing.T) {
+	alice := []Operator{{Name: "alice", Token: token}, {Name: "bob", Token: token + "x"}}
+	const here, there = "127.0.0.1:5000", "10.0.0.9:5000"
+	for _, c := range []struct {
+		name      string
+		operators []Operator
+		from      string
+		auth      string
+		actor     string
+	}{
+		{"token", alice, there, "Bearer " + token, "alice"},
+		{"second token", alice, there, "Bearer " + token + "x", "bob"},
+		{"wrong token", alice, here, "Bearer " + token + "y", ""},
+		{"shorter token", alice, here, "Bearer " + token[:19], ""},
+		{"empty token", alice, here, "Bearer ", ""},
+		{"other scheme", alice, here, "Basic " + token, ""},
+		{"no token", alice, there, "", ""},
+		{"no token on this host", alice, here, "", ""},
+		{"no operators, other host", nil, there, "", ""},
+		{"no operators, this host", nil, here, "", LocalOperator},
+		{"no operators, mapped address", nil, "[::ffff:127.0.0.1]:9", "", LocalOperator},
+		{"no operators, empty token", nil, here, "Bearer ", ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n := &fakeNode{}
+			a := New(n, WithOperators(c.operators))
+			w := call(a, http.MethodPost, "/patches", c.from, c.auth, removal)
+			is.Equal(n.got.Actor, c.actor)
+			is.Equal(w.Code == http.StatusOK, c.actor != "")
+			is.Equal(w.Code == http.StatusUnauthorized, c.actor == "")
+			is.Equal(call(a, http.MethodGet, "/config", c.from, c.auth, "").Code == http.StatusOK, c.actor != "")
+		})
+	}
+}
+
+// TestRebinding guards against a web page that reaches the interface through a name of its own.
+func TestRebinding(t *testing.T) {
+	is := is.New(t)
+	n := &fakeNode{}
+	r := httptest.NewRequest(http.MethodPost, "/patches", strings.NewReader(removal))
+	r.RemoteAddr = "127.0.0.1:5000"
+	r.Host = "evil.example:8301"
+	r.Header.Set("Content-Type", "application/json")
+	w := httptest.NewRecorder()
+	New(n).ServeHTTP(w, r)
+	is.Equal(w.Code, http.StatusUnauthorized)
+}
+
+// TestReplies guards against a wrong or missing code in an answer to an operator.
+func TestReplies(t *testing.T) {
+	for _, c := range []struct {
+		method, path, body string
+		node               fakeNode
+		want               classifier.Code
+	}{
+		{"POST", "/patches", removal, fakeNode{answer: reducer.AnswerPatch{Code: classifier.StaleVersion, Version: 4}}, classifier.StaleVersion},
+		{"POST", "/patches", removal, fakeNode{silent: true}, classifier.PatchPending},
+		{"POST", "/patches", "{", fakeNode{}, classifier.MalformedRequest},
+		{"POST", "/patches", `{"Operations":[{}]}`, fakeNode{}, classifier.MalformedRequest},
+		{"POST", "/patches", `{}`, fakeNode{}, classifier.PatchInvalid},
+		{"POST", "/patches", `{"ID":"a b","Operations":[{"RemoveService":{}}]}`, fakeNode{}, classifier.PatchInvalid},
+		{"POST", "/patches", strings.Repeat(" ", 1025), fakeNode{}, classifier.BodyTooLarge},
+		{"GET", "/config?Version=3", "", fakeNode{}, classifier.StaleVersion},
+		{"GET", "/config?Version=x", "", fakeNode{}, classifier.MalformedRequest},
+		{"GET", "/audit", "", fakeNode{}, classifier.NotOffered},
+		{"GET", "/health", "", fakeNode{}, classifier.NotConfigured},
+		{"DELETE", "/config", "", fakeNode{}, classifier.MalformedRequest},
+		{"GET", "/nothing", "", fakeNode{}, classifier.MalformedRequest},
+	} {
+		t.Run(c.method+c.path+c.want.String(), func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(New(&c.node, WithLimits(1024, 20*time.Millisecond)))
+			defer s.Close()
+			client, err := NewClient(netip.MustParseAddrPort(s.Listener.Addr().String()), "", "")
+			is.NoErr(err)
+			defer client.Close()
+			var body []byte
+			if c.body != "" {
+				body = []byte(c.body)
+			}
+			err = client.do(t.Context(), c.method, c.path, body, new(any))
+			var r Refusal
+			is.True(errors.As(err, &r))
+			is.Equal(r.Code, c.want)
+			is.Equal(r.Version, c.node.answer.Version)
+		})
+	}
+}
+
+func writeCertificate(t *testing.T, dir string, serial int64) {
+	t.Helper()
+	is := is.New(t)
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour),
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	is.NoErr(err)
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(filepath.Join(dir, "c.pem"), pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), 0o600))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "k.pem"), pem.EncodeToMemory(&pem.Block{Type: "PRIVATE KEY", Bytes: raw}), 0o600))
+}
+
+// TestCertificateReload guards against an entry that needs a restart for a new
+// certificate, or that loses the old one when the new files are faulty.
+func TestCertificateReload(t *testing.T) {
+	is := is.New(t)
+	dir := t.TempDir()
+	writeCertificate(t, dir, 1)
+	c, err := NewCertificate(filepath.Join(dir, "c.pem"), filepath.Join(dir, "k.pem"), zap.NewNop())
+	is.NoErr(err)
+	serial := func() int64 {
+		c.checkAt = time.Time{}
+		pair, err := c.Config().GetCertificate(&tls.ClientHelloInfo{})
+		is.NoErr(err)
+		return pair.Leaf.SerialNumber.Int64()
+	}
+	is.Equal(serial(), int64(1))
+	is.NoErr(os.WriteFile(filepath.Join(dir, "c.pem"), []byte("half"), 0o600))
+	is.Equal(serial(), int64(1))
+	writeCertificate(t, dir, 2)
+	is.Equal(serial(), int64(2))
+
+	s := httptest.NewUnstartedServer(New(&fakeNode{}))
+	s.Listener = tls.NewListener(s.Listener, c.Config())
+	s.Start()
+	defer s.Close()
+	client, err := NewClient(netip.MustParseAddrPort(s.Listener.Addr().String()), "", filepath.Join(dir, "c.pem"))
+	is.NoErr(err)
+	defer client.Close()
+	status, err := client.Status(t.Context())
+	is.NoErr(err)
+	is.Equal(status.Name, "e1")
+}
--- /dev/null
+++ b/internal/administrator/client.go
@@ -0,0 +1,130 @@
+package administrator
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+
+	"github.com/pkg/errors"
+
+	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// maxAnswer bounds an answer of an entry in bytes.
+const maxAnswer = 64 << 20
+
+// Client calls the administration of one entry.
+type Client struct {
+	base  string
+	token string
+	http  *http.Client
+}
+
+// NewClient returns a client of an entry; authority is a file of certificate
+// authorities and turns on TLS, the token may be empty. It fails if the file can't be used.
+func NewClient(a netip.AddrPort, token, authority string) (*Client, error) {
+	t := &http.Transport{}
+	c := &Client{base: "http://" + a.String(), token: token, http: &http.Client{Transport: t}}
+	if authority == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, errors.Errorf("%s holds no certificate", authority)
+	}
+	t.TLSClientConfig = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: pool}
+	c.base = "https://" + a.String()
+	return c, nil
+}
+
+// Close closes the idle connections of the client.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Refusal is the error of a call that an entry refused.
+type Refusal struct{ Reply }
+
+// Error returns the code, its text and the detail.
+func (r Refusal) Error() string {
+	s := r.Code.String() + ": " + r.Code.Text()
+	if r.Detail != "" {
+		s += " (" + r.Detail + ")"
+	}
+	return s
+}
+
+// Config returns the configuration in force; it fails with a Refusal or a network error.
+func (c *Client) Config(ctx context.Context) (*patcher.Config, error) {
+	out := new(patcher.Config)
+	return out, c.do(ctx, http.MethodGet, "/config", nil, out)
+}
+
+// Status returns what the entry tells about itself; it fails with a Refusal or a network error.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var out Status
+	err := c.do(ctx, http.MethodGet, "/status", nil, &out)
+	return out, err
+}
+
+// Audit returns the audit trail; it fails with a Refusal or a network error.
+func (c *Client) Audit(ctx context.Context) ([]auditor.Entry, error) {
+	var out []auditor.Entry
+	err := c.do(ctx, http.MethodGet, "/audit", nil, &out)
+	return out, err
+}
+
+// Patch submits a patch and returns the verdict; it fails with a Refusal or a network error.
+func (c *Client) Patch(ctx context.Context, p patcher.Patch) (Reply, error) {
+	body, err := json.Marshal(p)
+	if err != nil {
+		return Reply{}, err
+	}
+	var out Reply
+	err = c.do(ctx, http.MethodPost, "/patches", body, &out)
+	return out, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	if body != nil {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	if c.token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp, answer)
+	}
+	return json.Unmarshal(answer, out)
+}
+
+func refused(resp *http.Response, answer []byte) error {
+	var r Reply
+	if err := json.Unmarshal(answer, &r); err != nil || r.Code == classifier.OK {
+		return errors.Errorf("entry answered %s", resp.Status)
+	}
+	return Refusal{r}
+}
--- /dev/null
+++ b/internal/administrator/serve.go
@@ -0,0 +1,165 @@
+package administrator
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// Status is what an entry tells about itself.
+type Status struct {
+	Name          string
+	Incarnation   uint64
+	DataCentre    string
+	CallerAddress netip.AddrPort
+	PeerAddress   netip.AddrPort
+	// Version is the version of the configuration in force.
+	Version  uint64
+	Services []ServiceStatus
+}
+
+// ServiceStatus is the size of one service.
+type ServiceStatus struct {
+	Name      string
+	Ranks     int
+	Upstreams int
+	// Draining is the number of upstreams that the configuration takes out of use.
+	Draining int
+}
+
+func (a *Administrator) current() *patcher.Config {
+	var c *patcher.Config
+	a.node.View(func(n *reducer.Node) { c = n.Config() })
+	return c
+}
+
+func (a *Administrator) config(w http.ResponseWriter, r *http.Request, _ string) {
+	c := a.current()
+	if v := r.URL.Query().Get("Version"); v != "" {
+		want, err := strconv.ParseUint(v, 10, 64)
+		if err != nil {
+			writeReply(w, Reply{Code: classifier.MalformedRequest, Version: c.Version, Detail: "Version is not a whole number"})
+			return
+		}
+		if want != c.Version {
+			writeReply(w, Reply{Code: classifier.StaleVersion, Version: c.Version})
+			return
+		}
+	}
+	writeData(w, c)
+}
+
+func (a *Administrator) patch(w http.ResponseWriter, r *http.Request, operator string) {
+	p, code, detail := a.readPatch(w, r)
+	if code != classifier.OK {
+		a.metrics.patches.WithLabelValues(code.String()).Inc()
+		writeReply(w, Reply{Code: code, Version: a.current().Version, Detail: detail})
+		return
+	}
+	p.Actor = operator
+	if p.ID == "" {
+		p.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	reply := a.submit(r.Context(), p)
+	a.metrics.patches.WithLabelValues(reply.Code.String()).Inc()
+	a.logger.Info("Patch answered", zap.String("ID", p.ID), zap.String("Operator", operator),
+		zap.Uint64("Base", p.Base), zap.Stringer("Code", reply.Code), zap.Uint64("Version", reply.Version))
+	writeReply(w, reply)
+}
+
+func (a *Administrator) submit(ctx context.Context, p patcher.Patch) Reply {
+	ctx, cancel := context.WithTimeout(ctx, a.patience)
+	defer cancel()
+	v, err := a.node.Submit(ctx, p)
+	if err != nil {
+		return Reply{
+			Code: classifier.PatchPending, Version: a.current().Version,
+			Detail: "no verdict yet; send the same patch with ID " + p.ID + " again",
+		}
+	}
+	return Reply{Code: v.Code, Version: v.Version, Detail: v.Detail, Pending: v.Pending}
+}
+
+// readPatch wants the JSON content type, which a web page can't send to another site without asking first.
+func (a *Administrator) readPatch(w http.ResponseWriter, r *http.Request) (p patcher.Patch, code classifier.Code, detail string) {
+	kind, _, err := mime.ParseMediaType(r.Header.Get("Content-Type"))
+	if err != nil || kind != "application/json" {
+		return p, classifier.MalformedRequest, "Content-Type is not application/json"
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, a.body))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return p, classifier.BodyTooLarge, "at most " + strconv.FormatInt(a.body, 10) + " bytes"
+	}
+	if err != nil {
+		return p, classifier.MalformedRequest, err.Error()
+	}
+	if err := json.Unmarshal(body, &p); err != nil {
+		return p, classifier.MalformedRequest, err.Error()
+	}
+	if len(p.Operations) == 0 {
+		return p, classifier.PatchInvalid, "the patch changes nothing"
+	}
+	if p.ID != "" && !patcher.ValidName(p.ID) {
+		return p, classifier.PatchInvalid, "the ID is not a name"
+	}
+	return p, classifier.OK, ""
+}
+
+func (a *Administrator) audit(w http.ResponseWriter, r *http.Request, _ string) {
+	if a.trail == nil {
+		writeReply(w, Reply{Code: classifier.NotOffered, Version: a.current().Version})
+		return
+	}
+	lines, err := a.trail.Trail(r.Context())
+	if err != nil {
+		writeReply(w, Reply{Code: classifier.LogUnavailable, Version: a.current().Version, Detail: err.Error()})
+		return
+	}
+	writeData(w, lines)
+}
+
+func (a *Administrator) status(w http.ResponseWriter, _ *http.Request, _ string) {
+	var s Status
+	a.node.View(func(n *reducer.Node) {
+		s = Status{
+			Name: n.Name, Incarnation: n.Incarnation, DataCentre: n.DataCentre,
+			CallerAddress: n.CallerAddress, PeerAddress: n.PeerAddress, Version: n.Config().Version,
+		}
+	})
+	for _, svc := range a.current().Services {
+		s.Services = append(s.Services, serviceStatus(svc))
+	}
+	writeData(w, s)
+}
+
+func serviceStatus(s patcher.Service) ServiceStatus {
+	out := ServiceStatus{Name: s.Name, Ranks: len(s.Ranks), Upstreams: len(s.Upstreams)}
+	for _, u := range s.Upstreams {
+		if u.Draining {
+			out.Draining++
+		}
+	}
+	return out
+}
+
+func (a *Administrator) health(w http.ResponseWriter, _ *http.Request, _ string) {
+	version := a.current().Version
+	code := classifier.OK
+	if version == 0 {
+		code = classifier.NotConfigured
+	}
+	writeReply(w, Reply{Code: code, Version: version})
+}
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -1,7 +1,9 @@
 package classifier
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"strconv"
 )
 
@@ -83,6 +85,7 @@
 	LogUnavailable Code = 503
 	PatchPending   Code = 504
 	Unauthorized   Code = 505
+	NotOffered     Code = 506
 
 	UnreadableFile Code = 601
 	UnknownKey     Code = 602
@@ -104,7 +107,7 @@
 	UnknownRank:      {"UnknownRank", "the service has no rank of this name", http.StatusNotFound},
 	KeyMissing:       {"KeyMissing", "a once-only request needs an idempotency key", http.StatusBadRequest},
 	KeyMalformed:     {"KeyMalformed", "the idempotency key has a wrong format", http.StatusBadRequest},
-	BodyTooLarge:     {"BodyTooLarge", "the request body exceeds the limit of its rank", http.StatusRequestEntityTooLarge},
+	BodyTooLarge:     {"BodyTooLarge", "the request body exceeds its limit", http.StatusRequestEntityTooLarge},
 	MalformedRequest: {"MalformedRequest", "the request is malformed", http.StatusBadRequest},
 	CallerGone:       {"CallerGone", "the caller closed the connection", 499},
 
@@ -135,6 +138,7 @@
 	LogUnavailable: {"LogUnavailable", "the platform log can't be reached", http.StatusServiceUnavailable},
 	PatchPending:   {"PatchPending", "the patch is in the log but not yet in force everywhere", http.StatusAccepted},
 	Unauthorized:   {"Unauthorized", "the operator token is missing or wrong", http.StatusUnauthorized},
+	NotOffered:     {"NotOffered", "the entry does not offer this call", http.StatusNotImplemented},
 
 	UnreadableFile: {"UnreadableFile", "the file can't be read or parsed", http.StatusBadRequest},
 	UnknownKey:     {"UnknownKey", "the section or key is not known", http.StatusBadRequest},
@@ -162,6 +166,9 @@
 	return http.StatusInternalServerError
 }
 
+// Codes returns all codes in ascending order.
+func Codes() []Code { return slices.Sorted(maps.Keys(table)) }
+
 // Known reports whether the code is in the table.
 func (c Code) Known() bool {
 	_, ok := table[c]
