--- /dev/null
+++ b/internal/bencher/baseline.go
@@ -0,0 +1,201 @@
+package bencher
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// Policy names the way in which an entry chooses upstreams.
+type Policy string
+
+// The policies: the real reducer and the baselines.
+const (
+	Ours        Policy = "ours"
+	Random      Policy = "random"
+	RoundRobin  Policy = "round robin"
+	FewestOpen  Policy = "fewest in flight"
+	TwoChoices  Policy = "two choices"
+	LeastReport Policy = "least reported"
+)
+
+// Baselines returns the policies to compare with.
+func Baselines() []Policy { return []Policy{Random, RoundRobin, FewestOpen, TwoChoices, LeastReport} }
+
+const baselineAttempts = 3
+
+// baseline is an entry with a queue by urgency, no early refusal and a plain choice.
+type baseline struct {
+	policy   Policy
+	random   *rand.Rand
+	service  patcher.Service
+	next     int
+	inFlight []int
+	reported []int
+	waiting  [][]*baselineCall
+	calls    map[reducer.RequestID]*baselineCall
+	effects  []reducer.Effect
+}
+
+type baselineCall struct {
+	id       reducer.RequestID
+	rank     int
+	deadline time.Time
+	tried    []int
+}
+
+func newBaseline(p Policy, s patcher.Service, seed uint64) *baseline {
+	return &baseline{
+		policy: p, service: s, random: rand.New(rand.NewPCG(seed, 5)),
+		inFlight: make([]int, len(s.Upstreams)), reported: make([]int, len(s.Upstreams)),
+		waiting: make([][]*baselineCall, len(s.Ranks)), calls: make(map[reducer.RequestID]*baselineCall),
+	}
+}
+
+// Step implements stepper.
+func (b *baseline) Step(ev reducer.Event) []reducer.Effect {
+	b.effects = nil
+	switch ev := ev.(type) {
+	case reducer.RequestArrived:
+		b.arrived(ev)
+	case reducer.UpstreamAnswered:
+		b.answered(ev)
+	case reducer.AttemptFailed:
+		c := b.finished(ev.Attempt, nil)
+		b.again(c, ev.Now, ev.Sent)
+	}
+	b.pump(ev.Time())
+	return b.effects
+}
+
+func (b *baseline) arrived(ev reducer.RequestArrived) {
+	for i, r := range b.service.Ranks {
+		if r.Name != ev.Rank {
+			continue
+		}
+		if len(b.waiting[i]) >= r.MaxQueue {
+			b.effects = append(b.effects, reducer.Refuse{ID: ev.ID, Code: classifier.QueueFull, Outcome: classifier.OutcomeNotRun})
+			return
+		}
+		c := &baselineCall{id: ev.ID, rank: i, deadline: ev.Now.Add(r.Patience.Duration)}
+		b.calls[ev.ID] = c
+		b.waiting[i] = append(b.waiting[i], c)
+	}
+}
+
+func (b *baseline) finished(id reducer.AttemptID, r *balancer.Report) *baselineCall {
+	c := b.calls[id.Request]
+	u := c.tried[id.Number-1]
+	b.inFlight[u]--
+	if r != nil {
+		b.reported[u] = r.InFlight + r.Queued
+	}
+	return c
+}
+
+func (b *baseline) answered(ev reducer.UpstreamAnswered) {
+	c := b.finished(ev.Attempt, ev.Report)
+	if ev.NotRun {
+		b.again(c, ev.Now, false)
+		return
+	}
+	delete(b.calls, c.id)
+	b.effects = append(b.effects, reducer.Relay{Attempt: ev.Attempt})
+}
+
+func (b *baseline) again(c *baselineCall, now time.Time, ran bool) {
+	if len(c.tried) < baselineAttempts && now.Before(c.deadline) {
+		b.waiting[c.rank] = append([]*baselineCall{c}, b.waiting[c.rank]...)
+		return
+	}
+	outcome := classifier.OutcomeNotRun
+	if ran {
+		outcome = classifier.OutcomeUnknown
+	}
+	delete(b.calls, c.id)
+	b.effects = append(b.effects, reducer.Refuse{ID: c.id, Code: classifier.UpstreamRefused, Outcome: outcome})
+}
+
+func (b *baseline) pump(now time.Time) {
+	for i := range b.waiting {
+		for len(b.waiting[i]) > 0 {
+			c := b.waiting[i][0]
+			u, ok := b.pick(c)
+			if !ok {
+				return
+			}
+			b.waiting[i] = b.waiting[i][1:]
+			if now.Before(c.deadline) {
+				b.dispatch(c, u)
+				continue
+			}
+			delete(b.calls, c.id)
+			b.effects = append(b.effects, reducer.Refuse{ID: c.id, Code: classifier.DeadlinePassed, Outcome: classifier.OutcomeUnknown})
+		}
+	}
+}
+
+func (b *baseline) dispatch(c *baselineCall, i int) {
+	u := b.service.Upstreams[i]
+	c.tried = append(c.tried, i)
+	b.inFlight[i]++
+	b.effects = append(b.effects, reducer.Dispatch{
+		Attempt: reducer.AttemptID{Request: c.id, Number: uint32(len(c.tried))}, Service: b.service.Name,
+		Upstream: u.Name, Address: u.Address, Connections: u.Connections, Deadline: c.deadline,
+	})
+}
+
+// usable bounds the requests in flight at an upstream by its slots.
+func (b *baseline) usable(i int) bool { return b.inFlight[i] < b.service.Upstreams[i].Slots }
+
+func (b *baseline) pick(c *baselineCall) (int, bool) {
+	var open []int
+	for i := range b.service.Upstreams {
+		if b.usable(i) && !tried(c, i) {
+			open = append(open, i)
+		}
+	}
+	if len(open) == 0 {
+		return 0, false
+	}
+	switch b.policy {
+	case RoundRobin:
+		b.next++
+		return open[b.next%len(open)], true
+	case FewestOpen:
+		return b.least(open, b.inFlight), true
+	case LeastReport:
+		return b.least(open, b.reported), true
+	case TwoChoices:
+		pair := []int{open[b.random.IntN(len(open))], open[b.random.IntN(len(open))]}
+		return b.least(pair, b.inFlight), true
+	default:
+		return open[b.random.IntN(len(open))], true
+	}
+}
+
+func tried(c *baselineCall, i int) bool {
+	for _, t := range c.tried {
+		if t == i {
+			return true
+		}
+	}
+	return false
+}
+
+// least returns the smallest of the list and breaks ties at random.
+func (b *baseline) least(list, measure []int) int {
+	first := b.random.IntN(len(list))
+	best := list[first]
+	for k := range list {
+		i := list[(first+k)%len(list)]
+		if measure[i] < measure[best] {
+			best = i
+		}
+	}
+	return best
+}
