--- a/internal/bencher/world.go
+++ b/internal/bencher/world.go
@@ -110,7 +110,7 @@
 
 // feed schedules log reads for a node: the configuration first, then fresh evidence.
 func (w *world) feed(e *entry, service patcher.Service) {
-	payload, err := versioner.Encode(patcher.Patch{ID: "p", Operations: []patcher.Operation{patcher.PutService{Service: service}}})
+	payload, err := versioner.EncodePatch(patcher.Patch{ID: "p", Operations: []patcher.Operation{patcher.PutService{Service: service}}})
 	if err != nil {
 		panic(err)
 	}
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -78,7 +78,7 @@
 }
 
 func request(n uint64) reducer.PeerMessage {
-	return reducer.ConfigRequest{Request: versioner.Request{Have: n}}
+	return reducer.ConfigRequest{Request: versioner.Request{Next: n}}
 }
 
 // TestDeliver guards against lost, reordered or duplicated messages, and
--- a/internal/messenger/wire_test.go
+++ b/internal/messenger/wire_test.go
@@ -41,6 +41,10 @@
 	switch v.Kind() {
 	case reflect.Struct:
 		for i := range v.NumField() {
+			// A blank field only carries the codec's options.
+			if v.Type().Field(i).Name == "_" {
+				continue
+			}
 			if !v.Type().Field(i).IsExported() {
 				t.Fatalf("field %s of %s is not exported", v.Type().Field(i).Name, v.Type())
 			}
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -24,6 +24,10 @@
 	DataCentre    string
 	// Seed starts the random numbers of the node.
 	Seed uint64
+	// Peers are the peer addresses to try first.
+	Peers []netip.AddrPort
+	// LogRetention is how long the log keeps records; 0 means 24 hours.
+	LogRetention time.Duration
 }
 
 // Node is the state of one entry.
@@ -38,6 +42,10 @@
 	config   configuration
 	view     *gossiper.View
 	once     onceOnly
+	state    gossiper.State
+	members  membership
+	stop     stopping
+	auditing
 }
 
 // New returns a node that has not started; Start gives its first effects.
@@ -48,19 +56,25 @@
 	}
 	return &Node{
 		Options:  o,
-		view:     gossiper.NewView(self),
+		view:     gossiper.NewView(self, o.Peers...),
 		random:   rand.New(rand.NewPCG(o.Seed, o.Incarnation)),
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
 		once:     newOnceOnly(o),
 		config:   configuration{log: versioner.NewLog(), patches: make(map[string]*submission)},
+		members:  membership{silent: make(map[string]uint64)},
 	}
 }
 
 // Start returns the effects that begin the node's work.
 func (n *Node) Start(now time.Time) []Effect {
 	n.now = now
+	n.members.nextAt = now
+	n.members.resumedAt = now
 	n.readConfig()
+	n.readAudit()
+	n.listHosts()
+	n.gossip()
 	return n.finish()
 }
 
@@ -69,6 +83,7 @@
 	n.now = ev.Time()
 	n.handle(ev)
 	n.runTimers()
+	n.advanceStop()
 	return n.finish()
 }
 
@@ -98,6 +113,12 @@
 		n.peerMessage(ev)
 	case KeysAsked:
 		n.keysAsked(ev)
+	case HostsListed:
+		n.hostsListed(ev)
+	case EntriesAsked:
+		n.entriesAsked(ev)
+	case StopRequested:
+		n.stopRequested()
 	}
 }
 
