Carry out every effect and keep the three outcomes apart on sockets

Cause: the driver knew few effects, spawned a goroutine per attempt, reported "sent" for every attempt that had a connection, and bounded no memory. Change: all effects and events; planned stop phases; a count of writes on each upstream connection, which is barred from further writes before Sent is reported false; fresh connections under the same limit as kept ones; once-only requests kept off quiet connections; bounds on headers, bodies in memory, slow senders and readers; recovered panics; the first attempt runs in the caller's goroutine; metrics, /healthz and /readyz.

--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -1,78 +1,151 @@
 package driver
 
 import (
-	"encoding/json"
-	"io"
+	"context"
 	"net/http"
-	"strconv"
+	"net/url"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/pkg/errors"
 
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
-// maxReplayable bounds the request bodies that are held for a repeat, in bytes.
-const maxReplayable = 256 << 10
+const (
+	callPrefix = "/call/"
+	// maxCalls bounds the requests in progress.
+	maxCalls = 20_000
+)
 
 // call is a caller's request while it is served.
 type call struct {
-	request *http.Request
-	path    string
-	body    []byte
-	reply   chan reply
+	request  *http.Request
+	service  string
+	path     string
+	rawPath  string
+	onceOnly bool
+	// replayable is set if held is the whole body.
+	replayable bool
+	held       holding
+	// upload is the part of the body that is not held, nil if there is none.
+	upload *callerBody
+	reply  chan reply
+
+	// The fields below are guarded by the driver's mu.
+
+	// arriving is set while the node steps for the arrival.
+	arriving bool
+	// inline is the attempt that the caller's own goroutine runs, nil if none.
+	inline   func()
+	own      *attempt
+	attempts []*attempt
+	ended    bool
+	// uploaded is set once an attempt took upload.
+	uploaded bool
 }
 
-// reply is what a call ends with.
-type reply interface{ reply() }
+// Handler returns the HTTP interface for callers.
+func (d *Driver) Handler() http.Handler { return http.HandlerFunc(d.serve) }
 
-type refusal struct{ reducer.Refuse }
+func (d *Driver) serve(w http.ResponseWriter, r *http.Request) {
+	if !d.enter() {
+		panic(http.ErrAbortHandler)
+	}
+	defer d.work.Done()
+	path := r.URL.EscapedPath()
+	switch {
+	case strings.HasPrefix(path, callPrefix):
+		d.serveCall(w, r, path[len(callPrefix):])
+	case path == "/entries" && r.Method == http.MethodGet:
+		d.serveEntries(w, r)
+	case path == "/keys" && r.Method == http.MethodGet:
+		d.serveKeys(w, r)
+	default:
+		http.NotFound(w, r)
+	}
+}
 
-func (refusal) reply() {}
-func (*answer) reply() {}
+// enter adds a handler to the driver's work unless the driver is closing.
+func (d *Driver) enter() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ctx.Err() != nil {
+		return false
+	}
+	d.work.Add(1)
+	return true
+}
 
-// Handler returns the HTTP interface for callers.
-func (d *Driver) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("/call/{service}/{rank}/{path...}", d.serveCall)
-	return mux
+func (d *Driver) serveCall(w http.ResponseWriter, r *http.Request, target string) {
+	begun := time.Now()
+	service, rest, _ := strings.Cut(target, "/")
+	name, path, _ := strings.Cut(rest, "/")
+	c := &call{request: r, service: service, rawPath: "/" + path, reply: make(chan reply, 1)}
+	rank, code := d.rank(service, name)
+	if code != classifier.OK {
+		d.refuse(w, "", "", begun, code)
+		return
+	}
+	d.metrics.inFlight.Inc()
+	defer d.metrics.inFlight.Dec()
+	// An answer that breaks off leaves by a panic.
+	code = classifier.AnswerTruncated
+	defer func() { d.metrics.count(service, name, code, begun) }()
+	code = d.serveRank(w, c, rank)
 }
 
-func (d *Driver) serveCall(w http.ResponseWriter, r *http.Request) {
+// serveRank returns the code to count.
+func (d *Driver) serveRank(w http.ResponseWriter, c *call, rank patcher.Rank) classifier.Code {
+	r := c.request
 	deadline, err := parseDeadline(r.Header.Get(headerDeadline))
-	if err != nil {
-		writeRefusal(w, classifier.MalformedRequest, classifier.OutcomeNotRun)
-		return
+	if err == nil {
+		c.path, err = url.PathUnescape(c.rawPath)
 	}
-	rank, code := d.rank(r)
-	if code != classifier.OK {
-		writeRefusal(w, code, classifier.OutcomeNotRun)
-		return
+	if err != nil || r.Method == http.MethodConnect {
+		return d.write(w, r, refuseRequest(classifier.MalformedRequest))
 	}
-	c := &call{request: r, path: upstreamPath(r), reply: make(chan reply, 1)}
-	if code := c.readBody(w, rank); code != classifier.OK {
-		writeRefusal(w, code, classifier.OutcomeNotRun)
-		return
+	c.onceOnly = rank.Kind == patcher.OnceOnly
+	defer c.release()
+	if code := d.readBody(c, w, rank); code != classifier.OK {
+		w.Header().Set("Connection", "close")
+		return d.write(w, r, refuseRequest(code))
 	}
 	id := d.arrive(c, rank, deadline)
+	d.runInline(c, id)
+	select {
+	case rep := <-c.reply:
+		return d.write(w, r, rep)
+	default:
+	}
 	select {
 	case rep := <-c.reply:
-		d.write(w, rep)
+		return d.write(w, r, rep)
 	case <-r.Context().Done():
 		d.abandon(id)
+		return classifier.CallerGone
+	case <-d.ctx.Done():
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// runInline runs the first attempt in the caller's goroutine, which saves two
+// wake-ups a request. It returns once the attempt ended or was cancelled.
+func (d *Driver) runInline(c *call, id reducer.RequestID) {
+	if c.inline == nil {
+		return
 	}
+	stop := context.AfterFunc(c.request.Context(), func() { d.abandon(id) })
+	defer stop()
+	c.inline()
 }
 
-func upstreamPath(r *http.Request) string {
-	p := "/" + r.PathValue("path")
-	if r.URL.RawQuery != "" {
-		p += "?" + r.URL.RawQuery
+func (c *call) release() {
+	if c.held.memory != nil {
+		c.held.release()
 	}
-	return p
 }
 
 func parseDeadline(s string) (time.Time, error) {
@@ -82,57 +155,52 @@
 	return time.Parse(time.RFC3339Nano, s)
 }
 
-func (d *Driver) rank(r *http.Request) (patcher.Rank, classifier.Code) {
-	var rank patcher.Rank
-	var code classifier.Code
-	d.View(func(n *reducer.Node) { rank, code = n.Rank(r.PathValue("service"), r.PathValue("rank")) })
-	return rank, code
+func (d *Driver) rank(service, name string) (patcher.Rank, classifier.Code) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.calls) >= maxCalls {
+		return patcher.Rank{}, classifier.QueueFull
+	}
+	return d.node.Rank(service, name)
 }
 
-// readBody holds the body if it may have to be sent again or hashed.
-func (c *call) readBody(w http.ResponseWriter, rank patcher.Rank) classifier.Code {
-	r := c.request
-	if r.ContentLength > rank.MaxBody {
-		return classifier.BodyTooLarge
-	}
-	r.Body = http.MaxBytesReader(w, r.Body, rank.MaxBody)
-	if rank.Kind != patcher.OnceOnly && (r.ContentLength < 0 || r.ContentLength > maxReplayable) {
-		return classifier.OK
-	}
-	body, err := io.ReadAll(r.Body)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return classifier.BodyTooLarge
-	}
-	if err != nil {
-		return classifier.MalformedRequest
-	}
-	c.body = body
-	return classifier.OK
+func (d *Driver) refuse(w http.ResponseWriter, service, rank string, begun time.Time, code classifier.Code) {
+	writeRefusal(w, refuseRequest(code).Refuse)
+	d.metrics.count(service, rank, code, begun)
 }
 
 func (d *Driver) arrive(c *call, rank patcher.Rank, deadline time.Time) reducer.RequestID {
+	h := c.request.Header
+	ev := reducer.RequestArrived{
+		Service: c.service, Rank: rank.Name, Deadline: deadline,
+		Key: h.Get(headerKey), BodySize: c.request.ContentLength,
+		FirstAttempt: h.Get(headerAttempt) == firstAttempt,
+		Replayable:   c.replayable,
+	}
+	if c.onceOnly {
+		ev.BodyDigest = xxhash.Sum64(c.held.body)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	id := d.newID()
-	d.calls[id] = c
-	d.step(reducer.RequestArrived{
-		Stamp: stamp(), ID: id,
-		Service: c.request.PathValue("service"), Rank: rank.Name,
-		Deadline: deadline, Key: c.request.Header.Get(headerKey),
-		BodyDigest: xxhash.Sum64(c.body), BodySize: c.request.ContentLength,
-		Replayable: c.body != nil,
-	})
-	return id
+	ev.ID = d.newID()
+	ev.Stamp = stamp()
+	d.calls[ev.ID] = c
+	c.arriving = true
+	d.step(ev)
+	c.arriving = false
+	return ev.ID
 }
 
+// abandon tells the node that a caller hung up.
 func (d *Driver) abandon(id reducer.RequestID) {
 	d.mu.Lock()
-	if _, ok := d.calls[id]; ok {
-		delete(d.calls, id)
-		d.step(reducer.CallerGone{Stamp: stamp(), ID: id})
+	defer d.mu.Unlock()
+	c, ok := d.calls[id]
+	if !ok {
+		return
 	}
-	d.mu.Unlock()
+	d.endCall(id, c, nil)
+	d.step(reducer.CallerGone{Stamp: stamp(), ID: id})
 }
 
 // end hands a reply to the caller's goroutine; it reports false if the caller is gone.
@@ -141,76 +209,22 @@
 	if !ok {
 		return false
 	}
-	delete(d.calls, id)
+	d.endCall(id, c, rep)
 	c.reply <- rep
 	return true
 }
 
-func (d *Driver) write(w http.ResponseWriter, rep reply) {
-	switch rep := rep.(type) {
-	case refusal:
-		writeRefusal(w, rep.Code, rep.Outcome)
-	case *answer:
-		d.writeAnswer(w, rep)
-	}
-}
-
-// writeAnswer relays an answer; if it breaks off, the connection is aborted so
-// that the caller can't take the part for the whole.
-func (d *Driver) writeAnswer(w http.ResponseWriter, a *answer) {
-	defer a.close()
-	copyHeaders(w.Header(), a.header)
-	w.Header().Set("Azuretrestle-Outcome", classifier.OutcomeDone.String())
-	if a.whole {
-		w.Header().Set("Content-Length", strconv.Itoa(len(a.held)))
-	}
-	w.WriteHeader(a.status)
-	_, err := w.Write(a.held)
-	if a.whole {
-		return
-	}
-	if err == nil {
-		_, err = io.Copy(w, a.rest)
-	}
-	d.post(func(s reducer.Stamp) reducer.Event {
-		return reducer.UpstreamFinished{Stamp: s, Attempt: a.id, Truncated: err != nil}
-	})
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-type wireRefusal struct {
-	Code    classifier.Code
-	Name    string
-	Text    string
-	Outcome string
-}
-
-func writeRefusal(w http.ResponseWriter, code classifier.Code, outcome classifier.Outcome) {
-	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Azuretrestle-Code", strconv.Itoa(int(code)))
-	w.Header().Set("Azuretrestle-Outcome", outcome.String())
-	w.WriteHeader(code.Status())
-	_ = json.NewEncoder(w).Encode(wireRefusal{Code: code, Name: code.String(), Text: code.Text(), Outcome: outcome.String()})
-}
-
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-}
-
-func copyHeaders(dst, src http.Header) {
-	named := make(map[string]bool)
-	for _, v := range src["Connection"] {
-		for name := range strings.SplitSeq(v, ",") {
-			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+// endCall ends a call and drops the answers that it does not relay; d.mu is held.
+func (d *Driver) endCall(id reducer.RequestID, c *call, rep reply) {
+	delete(d.calls, id)
+	c.ended = true
+	for _, a := range c.attempts {
+		if a.answer != nil && reply(a.answer) != rep {
+			d.drop(a)
 		}
 	}
-	for k, vs := range src {
-		if !hopHeaders[k] && !named[k] {
-			dst[k] = append([]string(nil), vs...)
-		}
+	// The caller's goroutine may still be busy with an attempt that lost.
+	if c.own != nil && c.own.answer == nil {
+		c.own.cancel()
 	}
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -2,37 +2,57 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/azuretrestle/azuretrestle/internal/messenger"
 	"github.com/azuretrestle/azuretrestle/internal/recorder"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
+// recoverAfter is when the node is stepped again after a panic, which may have lost its timer.
+const recoverAfter = 10 * time.Millisecond
+
 // Driver feeds a node with events and carries out its effects.
 type Driver struct {
-	logger *zap.Logger
-	log    recorder.Log
-	lister recorder.Lister
+	logger  *zap.Logger
+	log     recorder.Log
+	lister  recorder.Lister
+	metrics *metrics
+	memory  memory
+
+	peerListener net.Listener
+	certificates *messenger.Certificates
+	peers        *messenger.Messenger
 
 	// mu guards all below; effects are carried out under it, in order, and never block.
-	mu       sync.Mutex
-	node     *reducer.Node
+	mu   sync.Mutex
+	node *reducer.Node
+	// decide is the node's Step.
+	decide   func(reducer.Event) []reducer.Effect
 	timer    *time.Timer
+	config   *patcher.Config
 	nextID   reducer.RequestID
 	calls    map[reducer.RequestID]*call
 	attempts map[reducer.AttemptID]*attempt
 	patches  map[reducer.RequestID]chan reducer.AnswerPatch
-	pools    map[string]*http.Transport
+	pools    map[poolKey]*pool
+	servers  []*http.Server
+	// drained is closed once all servers have ended their requests after StopListening; nil before.
+	drained chan struct{}
 
-	ctx    context.Context
-	cancel context.CancelFunc
-	work   sync.WaitGroup
-	done   chan struct{}
+	stopping  atomic.Bool
+	ctx       context.Context
+	cancel    context.CancelFunc
+	work      sync.WaitGroup
+	closeOnce sync.Once
+	done      chan struct{}
 }
 
 // Option changes a driver before it starts.
@@ -41,23 +61,39 @@
 // WithLogger makes the driver log to l.
 func WithLogger(l *zap.Logger) Option { return func(d *Driver) { d.logger = l } }
 
+// WithPeers makes the driver receive peer messages on lis, which it owns from
+// then on, and send them with the given certificates, nil for plain TCP.
+func WithPeers(lis net.Listener, c *messenger.Certificates) Option {
+	return func(d *Driver) {
+		d.peerListener = lis
+		d.certificates = c
+	}
+}
+
 // New returns a driver of a node that uses the given platform.
 func New(o reducer.Options, log recorder.Log, lister recorder.Lister, opts ...Option) *Driver {
 	d := &Driver{
 		logger:   zap.NewNop(),
 		log:      log,
 		lister:   lister,
+		memory:   memory{limit: maxMemory},
 		node:     reducer.New(o),
 		calls:    make(map[reducer.RequestID]*call),
 		attempts: make(map[reducer.AttemptID]*attempt),
 		patches:  make(map[reducer.RequestID]chan reducer.AnswerPatch),
-		pools:    make(map[string]*http.Transport),
+		pools:    make(map[poolKey]*pool),
 		done:     make(chan struct{}),
 	}
+	d.decide = d.node.Step
+	d.config = d.node.Config()
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.metrics = newMetrics(d)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.peers = messenger.New(messenger.Options{
+		Name: o.Name, Incarnation: o.Incarnation, Certificates: d.certificates, Logger: d.logger,
+	}, fromPeers{d})
 	return d
 }
 
@@ -66,25 +102,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.timer = time.AfterFunc(time.Hour, d.timerFired)
-	d.carryOut(d.node.Start(time.Now()))
-}
-
-// Close abandons all work and waits for its end.
-func (d *Driver) Close() {
-	d.cancel()
-	d.mu.Lock()
-	d.timer.Stop()
-	d.mu.Unlock()
-	d.work.Wait()
-	for _, t := range d.pools {
-		t.CloseIdleConnections()
+	if d.peerListener != nil {
+		d.peers.Serve(d.peerListener)
 	}
-	close(d.done)
+	d.carryOut(d.node.Start(time.Now()))
 }
 
-// Done is closed once the driver has ended.
-func (d *Driver) Done() <-chan struct{} { return d.done }
-
 // View runs f on the node between two steps; f must not change or keep it.
 func (d *Driver) View(f func(*reducer.Node)) {
 	d.mu.Lock()
@@ -95,21 +118,29 @@
 // Submit gives a patch to the node and waits for the verdict.
 func (d *Driver) Submit(ctx context.Context, p patcher.Patch) (reducer.AnswerPatch, error) {
 	answer := make(chan reducer.AnswerPatch, 1)
-	d.mu.Lock()
-	id := d.newID()
-	d.patches[id] = answer
-	d.step(reducer.PatchSubmitted{Stamp: stamp(), ID: id, Patch: p})
-	d.mu.Unlock()
+	id := d.submit(p, answer)
 	select {
 	case a := <-answer:
 		return a, nil
 	case <-ctx.Done():
+		d.mu.Lock()
+		delete(d.patches, id)
+		d.mu.Unlock()
 		return reducer.AnswerPatch{}, ctx.Err()
 	case <-d.ctx.Done():
 		return reducer.AnswerPatch{}, context.Canceled
 	}
 }
 
+func (d *Driver) submit(p patcher.Patch, answer chan reducer.AnswerPatch) reducer.RequestID {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := d.newID()
+	d.patches[id] = answer
+	d.step(reducer.PatchSubmitted{Stamp: stamp(), ID: id, Patch: p})
+	return id
+}
+
 func stamp() reducer.Stamp { return reducer.Stamp{Now: time.Now()} }
 
 func (d *Driver) newID() reducer.RequestID {
@@ -124,8 +155,25 @@
 	d.step(f(stamp()))
 }
 
-// step must be called with mu held.
-func (d *Driver) step(ev reducer.Event) { d.carryOut(d.node.Step(ev)) }
+// step must be called with mu held. A panic ends neither the process nor later steps.
+func (d *Driver) step(ev reducer.Event) {
+	defer func() {
+		if p := recover(); p != nil {
+			d.panicked(p)
+			d.timer.Reset(recoverAfter)
+		}
+	}()
+	d.carryOut(d.decide(ev))
+	if c := d.node.Config(); c != d.config {
+		d.config = c
+		d.prune(c)
+	}
+}
+
+func (d *Driver) panicked(p any) {
+	d.metrics.panics.Inc()
+	d.logger.Error("panic recovered", zap.Any("panic", p), zap.Stack("stack"))
+}
 
 func (d *Driver) timerFired() {
 	if d.ctx.Err() != nil {
@@ -145,23 +193,59 @@
 			d.relay(e.Attempt)
 		case reducer.Refuse:
 			d.end(e.ID, refusal{e})
-		case reducer.ReadLog:
-			d.spawn(func() { d.readLog(e) })
-		case reducer.Append:
-			d.spawn(func() { d.append(e) })
-		case reducer.SetTimer:
-			d.timer.Reset(time.Until(e.Deadline))
+		case reducer.AnswerStored:
+			d.end(e.ID, stored{e})
+		case reducer.AnswerEntries:
+			d.end(e.ID, entries{e})
+		case reducer.AnswerKeys:
+			d.end(e.ID, keys{e})
 		case reducer.AnswerPatch:
 			d.answerPatch(e)
+		case reducer.SetTimer:
+			d.timer.Reset(time.Until(e.Deadline))
+		default:
+			d.carryOutRare(e)
 		}
 	}
 }
 
+// carryOutRare handles the effects that are not part of serving a request.
+func (d *Driver) carryOutRare(e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.Probe:
+		d.spawn(func() { d.probe(e) })
+	case reducer.CloseIdle:
+		d.closeIdle(e)
+	case reducer.Send:
+		d.peers.Send(e)
+	case reducer.ReadLog:
+		d.spawn(func() { d.readLog(e) })
+	case reducer.Append:
+		d.spawn(func() { d.append(e) })
+	case reducer.ListHosts:
+		d.spawn(func() { d.listHosts(e) })
+	case reducer.Audit:
+		d.audit(e)
+	case reducer.Stop:
+		d.enterPhase(e.Phase)
+	default:
+		d.logger.Error("effect of unknown type", zap.Any("effect", e))
+	}
+}
+
+// spawn must be called with mu held, so that Close sees all work or prevents it.
 func (d *Driver) spawn(f func()) {
 	if d.ctx.Err() != nil {
 		return
 	}
-	d.work.Go(f)
+	d.work.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				d.panicked(p)
+			}
+		}()
+		f()
+	})
 }
 
 func (d *Driver) answerPatch(a reducer.AnswerPatch) {
@@ -170,3 +254,10 @@
 		ch <- a
 	}
 }
+
+func (d *Driver) audit(e reducer.Audit) {
+	d.metrics.changes.WithLabelValues(e.Action).Inc()
+	d.logger.Info("state changed",
+		zap.Time("at", e.At), zap.String("actor", e.Actor), zap.String("action", e.Action),
+		zap.String("subject", e.Subject), zap.String("cause", e.Cause), zap.Uint64("version", e.Version))
+}
--- /dev/null
+++ b/internal/driver/life.go
@@ -0,0 +1,126 @@
+package driver
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+)
+
+const (
+	headerPatience = 5 * time.Second
+	// callerIdle closes a caller's connection without a request.
+	callerIdle       = 2 * time.Minute
+	maxCallerHeaders = 16 << 10
+	// drainPatience bounds the wait for callers that read their answers slowly, after the node has finished.
+	drainPatience = 30 * time.Second
+)
+
+// Serve serves callers on the listener, which it owns from then on; it returns at once.
+func (d *Driver) Serve(lis net.Listener) {
+	server := &http.Server{
+		Handler:           d.Handler(),
+		ReadHeaderTimeout: headerPatience,
+		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    maxCallerHeaders,
+		ErrorLog:          zap.NewStdLog(d.logger),
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.drained != nil || d.ctx.Err() != nil {
+		_ = lis.Close()
+		return
+	}
+	d.servers = append(d.servers, server)
+	d.spawn(func() {
+		if err := server.Serve(lis); err != nil && err != http.ErrServerClosed {
+			d.logger.Error("callers' listener failed", zap.Error(err))
+		}
+	})
+}
+
+// Stop begins a planned stop, after which Done is closed; a second call ends all work at once.
+func (d *Driver) Stop() {
+	if d.stopping.Swap(true) {
+		d.Close()
+		return
+	}
+	d.logger.Info("planned stop requested")
+	d.post(func(s reducer.Stamp) reducer.Event { return reducer.StopRequested{Stamp: s} })
+}
+
+// Done is closed once the driver has ended.
+func (d *Driver) Done() <-chan struct{} { return d.done }
+
+// Close abandons all work and waits for its end.
+func (d *Driver) Close() {
+	d.closeOnce.Do(d.close)
+	<-d.done
+}
+
+func (d *Driver) close() {
+	d.mu.Lock()
+	d.cancel()
+	if d.timer != nil {
+		d.timer.Stop()
+	}
+	servers := d.servers
+	d.mu.Unlock()
+	for _, s := range servers {
+		_ = s.Close()
+	}
+	d.peers.Close()
+	d.work.Wait()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, p := range d.pools {
+		p.retire()
+	}
+	if d.peerListener != nil {
+		_ = d.peerListener.Close()
+	}
+	close(d.done)
+}
+
+func (d *Driver) enterPhase(p reducer.StopPhase) {
+	switch p {
+	case reducer.StopListening:
+		d.stopListening()
+	case reducer.StopDone:
+		d.stopListening()
+		go d.finish(d.drained)
+	}
+}
+
+// stopListening closes the callers' listeners and lets requests in progress end.
+func (d *Driver) stopListening() {
+	if d.drained != nil {
+		return
+	}
+	d.logger.Info("callers' listeners closing")
+	d.drained = make(chan struct{})
+	drained, servers := d.drained, d.servers
+	d.spawn(func() {
+		defer close(drained)
+		for _, s := range servers {
+			_ = s.Shutdown(d.ctx)
+		}
+	})
+}
+
+// finish ends the driver after the callers have their answers.
+func (d *Driver) finish(drained <-chan struct{}) {
+	ctx, cancel := context.WithTimeout(d.ctx, drainPatience)
+	defer cancel()
+	select {
+	case <-drained:
+		d.logger.Info("planned stop complete")
+	case <-ctx.Done():
+		d.logger.Warn("planned stop ends with answers still being read")
+	}
+	d.Close()
+}
--- a/internal/driver/platform.go
+++ b/internal/driver/platform.go
@@ -2,14 +2,24 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"github.com/azuretrestle/azuretrestle/internal/recorder"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 )
 
+// loadPath is where an upstream tells its load.
+const loadPath = "/load"
+
+// maxReport bounds the body of a load report in bytes.
+const maxReport = 256
+
 func (d *Driver) readLog(e reducer.ReadLog) {
 	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
 	defer cancel()
@@ -17,6 +27,7 @@
 	page, err := d.log.Read(ctx, e.Stream, e.From)
 	d.post(func(s reducer.Stamp) reducer.Event {
 		if err != nil {
+			d.logger.Debug("log not read", zap.String("stream", e.Stream), zap.Error(err))
 			return reducer.LogFailed{Stamp: s, Stream: e.Stream}
 		}
 		return logRead(s, e.Stream, asked, page)
@@ -42,3 +53,72 @@
 		}
 	})
 }
+
+// listHosts reports nothing on a failure, since the node's own timer asks again.
+func (d *Driver) listHosts(e reducer.ListHosts) {
+	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
+	defer cancel()
+	hosts, err := d.lister.Hosts(ctx)
+	if err != nil {
+		d.logger.Debug("host list not read", zap.Error(err))
+		return
+	}
+	d.post(func(s reducer.Stamp) reducer.Event {
+		ev := reducer.HostsListed{Stamp: s}
+		for _, h := range hosts {
+			ev.Hosts = append(ev.Hosts, reducer.Host(h))
+		}
+		return ev
+	})
+}
+
+// probe reads an upstream's load over a connection of the requests, if there is one.
+func (d *Driver) probe(e reducer.Probe) {
+	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
+	defer cancel()
+	begun := time.Now()
+	ev := d.readLoad(ctx, e)
+	d.metrics.probe(e.Service, ev.OK, begun)
+	d.post(func(s reducer.Stamp) reducer.Event {
+		ev.Stamp = s
+		return ev
+	})
+}
+
+func (d *Driver) readLoad(ctx context.Context, e reducer.Probe) reducer.ProbeAnswered {
+	ev := reducer.ProbeAnswered{Service: e.Service, Upstream: e.Upstream}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address.String()+loadPath, http.NoBody)
+	if err != nil {
+		return ev
+	}
+	resp, err := d.probing(e).RoundTrip(req)
+	if err != nil {
+		return ev
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxReport))
+	if err != nil {
+		return ev
+	}
+	ev.OK = resp.StatusCode == http.StatusOK
+	ev.Draining = resp.Header.Get(headerDraining) != ""
+	ev.Report = parseReport(resp.Header.Get(headerLoad))
+	if ev.Report == nil {
+		ev.Report = parseReport(strings.TrimSpace(string(body)))
+	}
+	return ev
+}
+
+// probing returns the connections for a probe. An upstream without requests so
+// far gets a pool with one connection, which the first request replaces.
+func (d *Driver) probing(e reducer.Probe) *http.Transport {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := poolKey{e.Service, e.Address.String()}
+	p, ok := d.pools[key]
+	if !ok {
+		p = newPool(1)
+		d.pools[key] = p
+	}
+	return p.kept
+}
