Share the slots of an upstream among entries by its reports

Cause: each entry used all slots of each upstream, so that in a flood upstreams shed most requests and their repeats, whatever their rank. Change: an entry's limit is the slots minus the requests of others, which are estimated from the reports on answers and fade with age; at least one; one more for the most urgent rank. Shedding lowers a ceiling and pauses new work for 2 ms. Choice compares 4 upstreams with room instead of 3 of any kind.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
@@ -32,7 +33,12 @@
 	FailureTruncated
 )
 
-const candidates = 3
+const (
+	// candidates is the number of upstreams compared for a choice.
+	candidates = 4
+	// maxLooks bounds the upstreams looked at while most have no room.
+	maxLooks = 32
+)
 
 // Pool holds the upstreams of one service as one entry sees them.
 type Pool struct {
@@ -41,15 +47,17 @@
 	upstreams  []*upstream
 	byName     map[string]*upstream
 	ranks      map[string]*rankLatency
+	// freed is the upstream that last gave back a slot; it is looked at first when room is rare.
+	freed *upstream
 }
 
-type upstream struct {
-	patcher.Upstream
-	inFlight int
-	latency  time.Duration
-	failures int
-	retryAt  time.Time
-	draining bool
+// Need describes the request that an upstream is picked for.
+type Need struct {
+	Rank string
+	// Urgent is set for the most urgent rank, which may use the last room of an upstream.
+	Urgent bool
+	// Tried names the upstreams that must not be picked again.
+	Tried []string
 }
 
 // Choice is the upstream picked for an attempt.
@@ -78,62 +86,84 @@
 	for _, u := range s.Upstreams {
 		known, ok := p.byName[u.Name]
 		if !ok || known.Address != u.Address {
-			known = &upstream{}
+			known = newUpstream(u)
 		}
 		known.Upstream = u
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
 	}
 	p.byName = byName
+	p.freed = nil
+}
+
+// Pick reserves a slot on an upstream; it fails if none has room. It compares a
+// few random upstreams (power of d choices, Mitzenmacher 2001), so that several
+// entries with the same knowledge do not all choose the same one.
+func (p *Pool) Pick(now time.Time, need Need) (Choice, bool) {
+	best := p.best(now, need)
+	if best == nil {
+		return Choice{}, false
+	}
+	best.inFlight++
+	return Choice{Name: best.Name, Address: best.Address, Connections: best.Connections}, true
 }
 
-// Pick reserves a slot on an upstream; it fails if none has room.
-func (p *Pool) Pick(now time.Time, exclude []string) (Choice, bool) {
+func (p *Pool) best(now time.Time, need Need) *upstream {
+	if len(p.upstreams) == 0 {
+		return nil
+	}
 	var best *upstream
-	for range candidates {
-		if len(p.upstreams) == 0 {
-			break
+	cost, found := 0.0, 0
+	consider := func(u *upstream) {
+		if u == best || !u.usable(now, need) {
+			return
 		}
-		u := p.upstreams[p.random.IntN(len(p.upstreams))]
-		if !u.usable(now, exclude) {
-			continue
-		}
-		if best == nil || u.score() < best.score() {
-			best = u
+		found++
+		if c := p.cost(now, u); best == nil || c < cost {
+			best, cost = u, c
 		}
 	}
-	if best == nil {
-		best = p.scan(now, exclude)
+	if p.freed != nil {
+		consider(p.freed)
 	}
-	if best == nil {
-		return Choice{}, false
+	n := len(p.upstreams)
+	start, step := p.random.IntN(n), p.step()
+	for i := range min(n, maxLooks) {
+		if found >= candidates {
+			break
+		}
+		consider(p.upstreams[(start+i*step)%n])
 	}
-	best.inFlight++
-	return Choice{Name: best.Name, Address: best.Address, Connections: best.Connections}, true
+	return best
 }
 
-func (p *Pool) scan(now time.Time, exclude []string) *upstream {
-	for _, u := range p.upstreams {
-		if u.usable(now, exclude) {
-			return u
+// step returns a random stride that visits every upstream, so that neighbours in the list are not tied together.
+func (p *Pool) step() int {
+	n := len(p.upstreams)
+	for range 8 {
+		s := 1 + p.random.IntN(n)
+		if gcd(s, n) == 1 {
+			return s
 		}
 	}
-	return nil
+	return 1
 }
 
-func (u *upstream) usable(now time.Time, exclude []string) bool {
-	if u.Draining || u.draining || u.inFlight >= u.Slots || now.Before(u.retryAt) {
-		return false
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
 	}
-	for _, n := range exclude {
-		if n == u.Name {
-			return false
-		}
+	return a
+}
+
+func (u *upstream) usable(now time.Time, need Need) bool {
+	if u.Draining || u.draining || u.inFlight >= u.limit(now, need.Urgent) || now.Before(u.retryAt) {
+		return false
 	}
-	return true
+	return !slices.Contains(need.Tried, u.Name)
 }
 
-func (u *upstream) score() float64 {
+func (p *Pool) cost(_ time.Time, u *upstream) float64 {
 	return float64(u.inFlight+1) / float64(u.Slots) * float64(u.latency+time.Millisecond)
 }
 
@@ -154,7 +184,15 @@
 		return
 	}
 	u.inFlight--
+	p.freed = u
 	u.draining = u.draining || f.Draining
+	if f.Report != nil {
+		u.observe(now, *f.Report)
+	}
+	if f.NotRun {
+		u.shed(now)
+		return
+	}
 	if f.Failure == FailureCancelled {
 		return
 	}
@@ -164,6 +202,7 @@
 		return
 	}
 	u.failures = 0
+	u.answered()
 	p.rank(f.Rank).observe(now.Sub(f.Started))
 	u.latency += (now.Sub(f.Started) - u.latency) / 8
 }
--- /dev/null
+++ b/internal/balancer/upstream.go
@@ -0,0 +1,85 @@
+package balancer
+
+import (
+	"math"
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+const (
+	// othersWeight is the weight of a new report in the estimate of others' requests.
+	othersWeight = 0.25
+	// reportLife is the time in which the weight of the last report falls to 1/e.
+	reportLife = 500 * time.Millisecond
+	// urgentSlack is the room beyond the slots that the most urgent rank may use; it
+	// keeps slots busy during the round trip between an answer and the next request.
+	urgentSlack = 1.0
+	// shedFactor lowers the ceiling of an upstream that shed a request.
+	shedFactor = 0.8
+	// shedRecovery raises the ceiling per answer, as a share of the slots.
+	shedRecovery = 0.02
+	// shedPause keeps new work away after a request was shed.
+	shedPause = 2 * time.Millisecond
+)
+
+// upstream is what one entry knows of an upstream.
+type upstream struct {
+	patcher.Upstream
+	inFlight int
+	latency  time.Duration
+	failures int
+	retryAt  time.Time
+	draining bool
+
+	// others estimates the requests of other entries at the upstream.
+	others     float64
+	reportedAt time.Time
+	// ceiling bounds the requests in flight of this entry; shedding lowers it.
+	ceiling     float64
+	pausedUntil time.Time
+}
+
+func newUpstream(c patcher.Upstream) *upstream {
+	return &upstream{Upstream: c, ceiling: float64(c.Slots)}
+}
+
+// observe takes a report; requests of this entry are taken off, so that only those of others remain.
+func (u *upstream) observe(now time.Time, r Report) {
+	others := max(float64(r.InFlight+r.Queued-u.inFlight), 0)
+	if u.reportedAt.IsZero() {
+		u.others = others
+	} else {
+		u.others += (others - u.others) * othersWeight
+	}
+	u.reportedAt = now
+}
+
+// othersNow is the estimate of others' requests; it fades with the age of the last report.
+func (u *upstream) othersNow(now time.Time) float64 {
+	if u.reportedAt.IsZero() {
+		return 0
+	}
+	return u.others * math.Exp(-now.Sub(u.reportedAt).Seconds()/reportLife.Seconds())
+}
+
+// limit bounds the requests in flight of this entry by the slots that others leave, at least one.
+func (u *upstream) limit(now time.Time, urgent bool) int {
+	if now.Before(u.pausedUntil) {
+		return 0
+	}
+	room := float64(u.Slots) - u.othersNow(now)
+	if urgent {
+		room += urgentSlack
+	}
+	return max(int(min(room, u.ceiling)), 1)
+}
+
+func (u *upstream) shed(now time.Time) {
+	u.ceiling = max(u.ceiling*shedFactor, 1)
+	u.pausedUntil = now.Add(shedPause)
+}
+
+func (u *upstream) answered() {
+	u.ceiling = min(u.ceiling+shedRecovery*float64(u.Slots), float64(u.Slots))
+}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -56,6 +56,16 @@
 	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New()}
 }
 
+// urgent reports whether no rank of the service comes before the given one.
+func (s *service) urgent(r patcher.Rank) bool {
+	for i := range s.config.Ranks {
+		if s.config.Ranks[i].Urgency < r.Urgency {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *service) update(c *patcher.Service) {
 	s.config = *c
 	s.removed = false
@@ -125,7 +135,7 @@
 			break
 		}
 		r := n.requests[RequestID(it.ID)]
-		choice, ok := s.pool.Pick(n.now, r.tried())
+		choice, ok := s.pool.Pick(n.now, r.need())
 		if ok {
 			s.queue.Take(n.now, it.ID)
 			r.queued = false
@@ -159,12 +169,12 @@
 	})
 }
 
-func (r *request) tried() []string {
-	var names []string
+func (r *request) need() balancer.Need {
+	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank)}
 	for _, a := range r.attempts {
-		names = append(names, a.upstream)
+		need.Tried = append(need.Tried, a.upstream)
 	}
-	return names
+	return need
 }
 
 func (n *Node) find(id AttemptID) (*request, *attempt) {
