Judge upstreams by latency relative to the rank and by open attempts

Cause: one mean latency mixed ranks of different work, and a straggler showed only once it had answered. Change: slowness is the latency as a multiple of the rank's mean; it fades to 1 without news, and the age of the oldest open attempt counts at once. The cost adds the estimated use of the slots by all entries, and the distance.

--- /dev/null
+++ b/internal/balancer/attempt.go
@@ -0,0 +1,46 @@
+package balancer
+
+import "time"
+
+// Attempt is a slot that is held on an upstream.
+type Attempt struct {
+	upstream   *upstream
+	rank       *rankLatency
+	started    time.Time
+	prev, next *Attempt
+}
+
+func (u *upstream) begin(now time.Time, r *rankLatency) *Attempt {
+	a := &Attempt{upstream: u, rank: r, started: now, prev: u.newest}
+	if u.newest != nil {
+		u.newest.next = a
+	} else {
+		u.oldest = a
+	}
+	u.newest = a
+	u.inFlight++
+	return a
+}
+
+func (u *upstream) end(a *Attempt) {
+	if a.prev != nil {
+		a.prev.next = a.next
+	} else {
+		u.oldest = a.next
+	}
+	if a.next != nil {
+		a.next.prev = a.prev
+	} else {
+		u.newest = a.prev
+	}
+	a.prev, a.next = nil, nil
+	u.inFlight--
+}
+
+// slowness is the time since the start as a multiple of the mean latency of the rank.
+func (a *Attempt) slowness(now time.Time) float64 {
+	if a.rank.mean <= 0 {
+		return 1
+	}
+	return float64(now.Sub(a.started)) / float64(a.rank.mean)
+}
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -62,6 +62,8 @@
 
 // Choice is the upstream picked for an attempt.
 type Choice struct {
+	// Attempt has to be given to Finish once.
+	Attempt     *Attempt
 	Name        string
 	Address     netip.AddrPort
 	Connections int
@@ -104,8 +106,8 @@
 	if best == nil {
 		return Choice{}, false
 	}
-	best.inFlight++
-	return Choice{Name: best.Name, Address: best.Address, Connections: best.Connections}, true
+	a := best.begin(now, p.rank(need.Rank))
+	return Choice{Attempt: a, Name: best.Name, Address: best.Address, Connections: best.Connections}, true
 }
 
 func (p *Pool) best(now time.Time, need Need) *upstream {
@@ -163,14 +165,8 @@
 	return !slices.Contains(need.Tried, u.Name)
 }
 
-func (p *Pool) cost(_ time.Time, u *upstream) float64 {
-	return float64(u.inFlight+1) / float64(u.Slots) * float64(u.latency+time.Millisecond)
-}
-
 // Feedback is what an attempt taught about its upstream.
 type Feedback struct {
-	Rank     string
-	Started  time.Time
 	Failure  Failure
 	NotRun   bool
 	Draining bool
@@ -178,31 +174,26 @@
 }
 
 // Finish releases the slot of an attempt and learns from it.
-func (p *Pool) Finish(now time.Time, name string, f Feedback) {
-	u, ok := p.byName[name]
-	if !ok {
-		return
-	}
-	u.inFlight--
+func (p *Pool) Finish(now time.Time, a *Attempt, f Feedback) {
+	u := a.upstream
+	u.end(a)
 	p.freed = u
 	u.draining = u.draining || f.Draining
 	if f.Report != nil {
 		u.observe(now, *f.Report)
 	}
-	if f.NotRun {
+	switch {
+	case f.NotRun:
 		u.shed(now)
-		return
-	}
-	if f.Failure == FailureCancelled {
-		return
-	}
-	if f.Failure != FailureNone {
+	case f.Failure == FailureCancelled:
+		u.outlived(now, a)
+	case f.Failure != FailureNone:
 		u.failures = min(u.failures+1, 8)
 		u.retryAt = now.Add(10 * time.Millisecond << u.failures)
-		return
+	default:
+		u.failures = 0
+		u.answered()
+		u.learn(now, a)
+		a.rank.observe(now.Sub(a.started))
 	}
-	u.failures = 0
-	u.answered()
-	p.rank(f.Rank).observe(now.Sub(f.Started))
-	u.latency += (now.Sub(f.Started) - u.latency) / 8
 }
--- /dev/null
+++ b/internal/balancer/cost.go
@@ -0,0 +1,60 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// slownessWeight is the weight of a new sample in the slowness of an upstream.
+	slownessWeight = 0.125
+	// maxSlowness bounds one sample, so that a single stall is forgotten soon.
+	maxSlowness = 30.0
+	// slownessLife is the time in which knowledge of the slowness falls to 1/e.
+	slownessLife = time.Second
+	// distanceCost is the cost of another data centre as a multiple of the mean latency.
+	distanceCost = 0.1
+	// idleCost is the cost of an idle upstream; the use of its slots adds up to 1 to it.
+	idleCost = 0.5
+)
+
+// learn takes the latency of an answered attempt.
+func (u *upstream) learn(now time.Time, a *Attempt) {
+	s := min(a.slowness(now), maxSlowness)
+	u.slowness = u.faded(now) + (s-u.faded(now))*slownessWeight
+	u.learnedAt = now
+}
+
+// outlived takes an attempt that ended without an answer; it counts only if it was slower than known.
+func (u *upstream) outlived(now time.Time, a *Attempt) {
+	if a.slowness(now) > u.faded(now) {
+		u.learn(now, a)
+	}
+}
+
+// faded is the slowness as far as it is still known; without news it returns to 1.
+func (u *upstream) faded(now time.Time) float64 {
+	if u.learnedAt.IsZero() {
+		return 1
+	}
+	return 1 + (u.slowness-1)*math.Exp(-now.Sub(u.learnedAt).Seconds()/slownessLife.Seconds())
+}
+
+// slownessNow also counts the age of the oldest open attempt, so that a straggler shows before it answers.
+func (u *upstream) slownessNow(now time.Time) float64 {
+	s := u.faded(now)
+	if u.oldest != nil {
+		s = max(s, u.oldest.slowness(now))
+	}
+	return s
+}
+
+// cost ranks the candidates; the lowest is picked.
+func (p *Pool) cost(now time.Time, u *upstream) float64 {
+	use := (float64(u.inFlight) + u.othersNow(now) + 1) / float64(u.Slots)
+	c := u.slownessNow(now) * (idleCost + use)
+	if u.DataCentre != p.dataCentre {
+		c += distanceCost
+	}
+	return c
+}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -27,10 +27,14 @@
 type upstream struct {
 	patcher.Upstream
 	inFlight int
-	latency  time.Duration
-	failures int
-	retryAt  time.Time
-	draining bool
+	// oldest and newest are the ends of the list of open attempts in the order of their start.
+	oldest, newest *Attempt
+	// slowness is the latency as a multiple of the mean over all upstreams.
+	slowness  float64
+	learnedAt time.Time
+	failures  int
+	retryAt   time.Time
+	draining  bool
 
 	// others estimates the requests of other entries at the upstream.
 	others     float64
@@ -41,7 +45,7 @@
 }
 
 func newUpstream(c patcher.Upstream) *upstream {
-	return &upstream{Upstream: c, ceiling: float64(c.Slots)}
+	return &upstream{Upstream: c, ceiling: float64(c.Slots), slowness: 1}
 }
 
 // observe takes a report; requests of this entry are taken off, so that only those of others remain.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -46,7 +46,7 @@
 type attempt struct {
 	id       AttemptID
 	upstream string
-	started  time.Time
+	slot     *balancer.Attempt
 	open     bool
 }
 
@@ -157,7 +157,7 @@
 	a := &attempt{
 		id:       AttemptID{Request: r.id, Number: uint32(len(r.attempts)) + 1},
 		upstream: c.Name,
-		started:  n.now,
+		slot:     c.Attempt,
 		open:     true,
 	}
 	r.attempts = append(r.attempts, a)
@@ -191,10 +191,8 @@
 
 func (n *Node) close(r *request, a *attempt, f balancer.Feedback) {
 	a.open = false
-	f.Started = a.started
-	f.Rank = r.rank.Name
 	r.service.queue.Ended(r.rank.Name)
-	r.service.pool.Finish(n.now, a.upstream, f)
+	r.service.pool.Finish(n.now, a.slot, f)
 }
 
 func (n *Node) upstreamAnswered(ev UpstreamAnswered) {
