Eject failing upstreams within a floor and repeat error answers

Cause: an upstream that answers errors in microseconds looked idle and fast, so it attracted most of the work. Change: error statuses of the upstream count as failures; idempotent requests are repeated elsewhere. A failure ejects for a time that doubles in a row, at most a third of a pool; beyond that it only costs more. A trial is one idempotent request, and the return takes 1 s. Latency is learned when the answer begins, so that a slow caller does not make an upstream look slow.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -8,6 +8,8 @@
 	rank       *rankLatency
 	started    time.Time
 	prev, next *Attempt
+	// answered is set once the attempt no longer counts as open.
+	answered bool
 }
 
 func (u *upstream) begin(now time.Time, r *rankLatency) *Attempt {
@@ -22,7 +24,7 @@
 	return a
 }
 
-func (u *upstream) end(a *Attempt) {
+func (u *upstream) unlink(a *Attempt) {
 	if a.prev != nil {
 		a.prev.next = a.next
 	} else {
@@ -34,7 +36,6 @@
 		u.newest = a.prev
 	}
 	a.prev, a.next = nil, nil
-	u.inFlight--
 }
 
 // slowness is the time since the start as a multiple of the mean latency of the rank.
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -31,6 +31,8 @@
 	FailureCancelled
 	// FailureTruncated means that the answer ended early.
 	FailureTruncated
+	// FailureStatus means that the answer was an error of the upstream.
+	FailureStatus
 )
 
 const (
@@ -49,6 +51,8 @@
 	ranks      map[string]*rankLatency
 	// freed is the upstream that last gave back a slot; it is looked at first when room is rare.
 	freed *upstream
+	// ejected counts the upstreams that are ejected.
+	ejected int
 }
 
 // Need describes the request that an upstream is picked for.
@@ -56,6 +60,8 @@
 	Rank string
 	// Urgent is set for the most urgent rank, which may use the last room of an upstream.
 	Urgent bool
+	// Idempotent is set if the request may run twice.
+	Idempotent bool
 	// Tried names the upstreams that must not be picked again.
 	Tried []string
 }
@@ -94,6 +100,11 @@
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
 	}
+	for _, u := range p.byName {
+		if byName[u.Name] != u {
+			p.restore(u)
+		}
+	}
 	p.byName = byName
 	p.freed = nil
 }
@@ -159,7 +170,7 @@
 }
 
 func (u *upstream) usable(now time.Time, need Need) bool {
-	if u.Draining || u.draining || u.inFlight >= u.limit(now, need.Urgent) || now.Before(u.retryAt) {
+	if u.Draining || u.draining || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
 		return false
 	}
 	return !slices.Contains(need.Tried, u.Name)
@@ -173,25 +184,43 @@
 	Report   *Report
 }
 
-// Finish releases the slot of an attempt and learns from it.
-func (p *Pool) Finish(now time.Time, a *Attempt, f Feedback) {
+// Answered learns from an answer whose rest is still to come; Finish has to follow.
+func (p *Pool) Answered(now time.Time, a *Attempt, f Feedback) {
+	if a.answered {
+		return
+	}
+	a.answered = true
 	u := a.upstream
-	u.end(a)
-	p.freed = u
+	u.unlink(a)
 	u.draining = u.draining || f.Draining
 	if f.Report != nil {
 		u.observe(now, *f.Report)
 	}
+	p.learn(now, a, f)
+}
+
+// Finish releases the slot of an attempt and learns from it.
+func (p *Pool) Finish(now time.Time, a *Attempt, f Feedback) {
+	a.upstream.inFlight--
+	p.freed = a.upstream
+	p.Answered(now, a, f)
+	if f.Failure == FailureTruncated {
+		p.failed(now, a.upstream)
+	}
+}
+
+func (p *Pool) learn(now time.Time, a *Attempt, f Feedback) {
+	u := a.upstream
 	switch {
 	case f.NotRun:
 		u.shed(now)
-	case f.Failure == FailureCancelled:
+	case f.Failure == FailureCancelled || f.Failure == FailureTimeout && a.slowness(now) < timeoutSlowness:
 		u.outlived(now, a)
+	case f.Failure == FailureTruncated:
 	case f.Failure != FailureNone:
-		u.failures = min(u.failures+1, 8)
-		u.retryAt = now.Add(10 * time.Millisecond << u.failures)
+		p.failed(now, u)
 	default:
-		u.failures = 0
+		p.succeeded(now, u, a.started)
 		u.answered()
 		u.learn(now, a)
 		a.rank.observe(now.Sub(a.started))
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -32,9 +32,8 @@
 	// slowness is the latency as a multiple of the mean over all upstreams.
 	slowness  float64
 	learnedAt time.Time
-	failures  int
-	retryAt   time.Time
 	draining  bool
+	health
 
 	// others estimates the requests of other entries at the upstream.
 	others     float64
@@ -76,7 +75,7 @@
 	if urgent {
 		room += urgentSlack
 	}
-	return max(int(min(room, u.ceiling)), 1)
+	return max(int(min(room, u.ceiling)*(1-u.away(now))), 1)
 }
 
 func (u *upstream) shed(now time.Time) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"maps"
+	"net/http"
 	"slices"
 	"time"
 
@@ -170,7 +171,7 @@
 }
 
 func (r *request) need() balancer.Need {
-	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank)}
+	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank), Idempotent: r.idempotent()}
 	for _, a := range r.attempts {
 		need.Tried = append(need.Tried, a.upstream)
 	}
@@ -206,12 +207,34 @@
 		n.pump(r.service)
 		return
 	}
+	f := balancer.Feedback{Draining: ev.Draining, Report: ev.Report}
+	if upstreamError(ev.Status) {
+		f.Failure = balancer.FailureStatus
+		if r.idempotent() && n.canRepeat(r) {
+			n.close(r, a, f)
+			n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown)
+			n.pump(r.service)
+			return
+		}
+	}
 	r.relayed = true
 	n.emit(Relay{Attempt: a.id})
-	if ev.Whole {
-		n.close(r, a, balancer.Feedback{Draining: ev.Draining, Report: ev.Report})
-		n.end(r)
-		n.pump(r.service)
+	if !ev.Whole {
+		r.service.pool.Answered(n.now, a.slot, f)
+		return
+	}
+	n.close(r, a, f)
+	n.end(r)
+	n.pump(r.service)
+}
+
+// upstreamError reports whether a status tells of a fault of the upstream rather than of the request.
+func upstreamError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -262,8 +285,7 @@
 	if outcome != classifier.OutcomeNotRun {
 		r.mayHaveRun = true
 	}
-	safe := !r.mayHaveRun || r.rank.Kind == patcher.Idempotent
-	if safe && r.replayable && len(r.attempts) < maxAttempts && n.now.Before(r.deadline) {
+	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) {
 		n.enqueue(r)
 		return
 	}
@@ -271,6 +293,13 @@
 	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome()})
 }
 
+func (r *request) idempotent() bool { return r.rank.Kind == patcher.Idempotent }
+
+// canRepeat reports whether a request can be sent again, apart from whether that is safe.
+func (n *Node) canRepeat(r *request) bool {
+	return r.replayable && len(r.attempts) < maxAttempts && n.now.Before(r.deadline)
+}
+
 // outcome is that of a request which ends without an answer.
 func (r *request) outcome() classifier.Outcome {
 	if r.mayHaveRun {
