Follow drains, bring upstreams back step by step and probe within the budget

Cause: a drained upstream never got work again, so that a rolling restart lost a quarter of the lookups.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -53,6 +53,9 @@
 	freed *upstream
 	// ejected counts the upstreams that are ejected.
 	ejected int
+	// doubted lists the upstreams that get no work because of their state.
+	doubted []*upstream
+	probes  uint64
 }
 
 // Need describes the request that an upstream is picked for.
@@ -88,13 +91,20 @@
 }
 
 // Update takes over the upstreams of a service; known ones keep their statistics.
-func (p *Pool) Update(_ time.Time, s *patcher.Service) {
+func (p *Pool) Update(now time.Time, s *patcher.Service) {
+	first := len(p.upstreams) == 0
 	byName := make(map[string]*upstream, len(s.Upstreams))
 	p.upstreams = p.upstreams[:0]
 	for _, u := range s.Upstreams {
 		known, ok := p.byName[u.Name]
 		if !ok || known.Address != u.Address {
 			known = newUpstream(u)
+			if !first {
+				known.comeBack(now, coldTime)
+			}
+		}
+		if known.Draining && !u.Draining {
+			p.rejoin(now, known)
 		}
 		known.Upstream = u
 		byName[u.Name] = known
@@ -103,6 +113,7 @@
 	for _, u := range p.byName {
 		if byName[u.Name] != u {
 			p.restore(u)
+			p.trust(u)
 		}
 	}
 	p.byName = byName
@@ -170,7 +181,7 @@
 }
 
 func (u *upstream) usable(now time.Time, need Need) bool {
-	if u.Draining || u.draining || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
+	if u.leaving() || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
 		return false
 	}
 	return !slices.Contains(need.Tried, u.Name)
@@ -192,7 +203,9 @@
 	a.answered = true
 	u := a.upstream
 	u.unlink(a)
-	u.draining = u.draining || f.Draining
+	if f.Draining {
+		p.signal(now, u)
+	}
 	if f.Report != nil {
 		u.observe(now, *f.Report)
 	}
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -28,8 +28,8 @@
 	// retryAt is when an ejected upstream gets a trial.
 	retryAt time.Time
 	ejected bool
-	// returnedAt is when the upstream has its full share again.
-	returnedAt time.Time
+	// returnFrom and returnTo are the times between which the upstream gets back to its full share.
+	returnFrom, returnTo time.Time
 }
 
 // maxEjected is the number of upstreams that may be ejected at a time.
@@ -48,6 +48,7 @@
 	if !u.ejected && p.ejected < p.maxEjected() {
 		u.ejected = true
 		p.ejected++
+		p.doubt(u)
 	}
 }
 
@@ -60,7 +61,8 @@
 	u.retryAt = time.Time{}
 	if u.ejected {
 		p.restore(u)
-		u.returnedAt = now.Add(returnTime)
+		p.trust(u)
+		u.comeBack(now, returnTime)
 	}
 }
 
@@ -80,13 +82,18 @@
 	return idempotent && u.inFlight == 0 && !now.Before(u.retryAt)
 }
 
+func (h *health) comeBack(now time.Time, length time.Duration) {
+	h.returnFrom = now
+	h.returnTo = now.Add(length)
+}
+
 // away is the part of the return that is left, from 1 to 0.
 func (h *health) away(now time.Time) float64 {
-	left := h.returnedAt.Sub(now)
+	left := h.returnTo.Sub(now)
 	if left <= 0 {
 		return 0
 	}
-	return min(float64(left)/float64(returnTime), 1)
+	return min(float64(left)/float64(h.returnTo.Sub(h.returnFrom)), 1)
 }
 
 // costFactor raises the cost of an upstream that fails or has failed not long ago.
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -32,8 +32,11 @@
 	// slowness is the latency as a multiple of the mean over all upstreams.
 	slowness  float64
 	learnedAt time.Time
-	draining  bool
 	health
+	drain
+	// doubted is set while the upstream is in the pool's list of doubted ones.
+	doubted  bool
+	probedAt time.Time
 
 	// others estimates the requests of other entries at the upstream.
 	others     float64
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -82,6 +82,10 @@
 		n.upstreamFinished(ev)
 	case AttemptFailed:
 		n.attemptFailed(ev)
+	case ProbeAnswered:
+		n.probeAnswered(ev)
+	case HostsListed:
+		n.hostsChanged(ev)
 	case TimerFired:
 		n.timers.set = time.Time{}
 	case LogRead:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -1,10 +1,7 @@
 package reducer
 
 import (
-	"hash/fnv"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/admitter"
@@ -16,15 +13,6 @@
 // maxAttempts bounds the dispatches of one request.
 const maxAttempts = 3
 
-// service is the state of one service at this node.
-type service struct {
-	node    *Node
-	config  patcher.Service
-	pool    *balancer.Pool
-	queue   *admitter.Queue
-	removed bool
-}
-
 // request is a caller's request from its arrival to its end.
 type request struct {
 	id         RequestID
@@ -51,29 +39,6 @@
 	open     bool
 }
 
-func newService(n *Node, name string) *service {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New()}
-}
-
-// urgent reports whether no rank of the service comes before the given one.
-func (s *service) urgent(r patcher.Rank) bool {
-	for i := range s.config.Ranks {
-		if s.config.Ranks[i].Urgency < r.Urgency {
-			return false
-		}
-	}
-	return true
-}
-
-func (s *service) update(c *patcher.Service) {
-	s.config = *c
-	s.removed = false
-	s.pool.Update(s.node.now, c)
-	s.queue.Update(c.Ranks)
-}
-
 func (n *Node) requestArrived(ev RequestArrived) {
 	s, ok := n.services[ev.Service]
 	if !ok || s.removed {
@@ -354,5 +319,3 @@
 func (n *Node) refuse(id RequestID, code classifier.Code) {
 	n.emit(Refuse{ID: id, Code: code, Outcome: classifier.OutcomeNotRun})
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- /dev/null
+++ b/internal/reducer/service.go
@@ -0,0 +1,58 @@
+package reducer
+
+import (
+	"hash/fnv"
+	"maps"
+	"slices"
+
+	"github.com/azuretrestle/azuretrestle/internal/admitter"
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// service is the state of one service at this node.
+type service struct {
+	node    *Node
+	config  patcher.Service
+	pool    *balancer.Pool
+	queue   *admitter.Queue
+	removed bool
+	// probe is the timer of the next probe.
+	probe *timer
+}
+
+func newService(n *Node, name string) *service {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name))
+	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New()}
+}
+
+// urgent reports whether no rank of the service comes before the given one.
+func (s *service) urgent(r patcher.Rank) bool {
+	for i := range s.config.Ranks {
+		if s.config.Ranks[i].Urgency < r.Urgency {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *service) update(c *patcher.Service) {
+	s.planProbes(c)
+	s.config = *c
+	s.removed = false
+	s.pool.Update(s.node.now, c)
+	s.queue.Update(c.Ranks)
+}
+
+// hostsChanged passes on which upstreams the platform's host list names as leaving.
+func (n *Node) hostsChanged(ev HostsListed) {
+	for _, h := range ev.Hosts {
+		if s, ok := n.services[h.Role]; ok {
+			s.pool.Listed(n.now, h.Name, h.Leaving)
+			n.pump(s)
+		}
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
