Hedge slow idempotent attempts and bound extra attempts by allowances

Cause: the tail came from stalls of single requests, which no choice of upstream foresees, and repeats had no bound but their number. Change: an attempt slower than 95% of its rank gets one second attempt on an upstream with a free slot; at most 5% of requests, a tenth of that while requests wait. The loser is cancelled. Repeats are bounded to 10% in the same way.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -65,6 +65,8 @@
 	Urgent bool
 	// Idempotent is set if the request may run twice.
 	Idempotent bool
+	// Spare asks for an upstream with a free slot beyond the known load.
+	Spare bool
 	// Tried names the upstreams that must not be picked again.
 	Tried []string
 }
@@ -184,6 +186,9 @@
 	if u.leaving() || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
 		return false
 	}
+	if need.Spare && float64(u.inFlight)+u.othersNow(now)+1 > float64(u.Slots) {
+		return false
+	}
 	return !slices.Contains(need.Tried, u.Name)
 }
 
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -27,6 +27,7 @@
 
 // outlived takes an attempt that ended without an answer; it counts only if it was slower than known.
 func (u *upstream) outlived(now time.Time, a *Attempt) {
+	a.rank.observeTail(now.Sub(a.started))
 	if a.slowness(now) > u.faded(now) {
 		u.learn(now, a)
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -29,6 +29,8 @@
 	mayHaveRun bool
 	attempts   []*attempt
 	timer      *timer
+	// watch is the timer of a hedged attempt.
+	watch *timer
 }
 
 // attempt is one dispatch of a request.
@@ -59,6 +61,7 @@
 		r.size = max(ev.BodySize, 0)
 	}
 	n.requests[ev.ID] = r
+	s.earn()
 	n.enqueue(r)
 }
 
@@ -133,6 +136,7 @@
 		Upstream: c.Name, Address: c.Address, Connections: c.Connections,
 		Deadline: r.deadline, Fresh: c.Fresh,
 	})
+	n.watch(r)
 }
 
 func (r *request) need() balancer.Need {
@@ -175,7 +179,7 @@
 	f := balancer.Feedback{Draining: ev.Draining, Report: ev.Report}
 	if upstreamError(ev.Status) {
 		f.Failure = balancer.FailureStatus
-		if r.idempotent() && n.canRepeat(r) {
+		if r.open() > 1 || r.idempotent() && n.canRepeat(r) && r.service.repeats.saved >= 1 {
 			n.close(r, a, f)
 			n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown)
 			n.pump(r.service)
@@ -184,6 +188,7 @@
 	}
 	r.relayed = true
 	n.emit(Relay{Attempt: a.id})
+	n.cancelOthers(r, a)
 	if !ev.Whole {
 		r.service.pool.Answered(n.now, a.slot, f)
 		return
@@ -250,7 +255,10 @@
 	if outcome != classifier.OutcomeNotRun {
 		r.mayHaveRun = true
 	}
-	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) {
+	if r.open() > 0 {
+		return
+	}
+	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) && r.service.repeats.spend() {
 		n.enqueue(r)
 		return
 	}
@@ -313,6 +321,7 @@
 		r.service.queue.Remove(uint64(r.id))
 	}
 	n.timers.stop(r.timer)
+	n.timers.stop(r.watch)
 	delete(n.requests, r.id)
 }
 
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -19,12 +19,14 @@
 	removed bool
 	// probe is the timer of the next probe.
 	probe *timer
+	// hedges and repeats bound the extra attempts.
+	hedges, repeats allowance
 }
 
 func newService(n *Node, name string) *service {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
-	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New()}
+	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New(), hedges: allowance{maxSaved}, repeats: allowance{maxSaved}}
 }
 
 // urgent reports whether no rank of the service comes before the given one.
