Keep room for the most urgent rank when a flood begins

Cause: at the start of a bulk flood all entries filled the free slots at once before any report told them of each other, and lookups found no slot for 60 ms. With one slot per entry and upstream in use, the most urgent rank had no slack. A request may expect to wait a third of its target instead of a quarter, and a stall counts an eighth. In the benchmark the urgent flood now covers the whole measured time, so that the share of the capacity can be read off.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -13,7 +13,7 @@
 
 // waitShare is the part of a rank's target that a request may expect to wait.
 // A longer queue adds latency without adding throughput, as in CoDel.
-const waitShare = 4
+const waitShare = 3
 
 // Item is a request that waits for a slot.
 type Item struct {
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -12,7 +12,7 @@
 	paceWeight = 16
 	// stallWeight is the part of the time since the last dispatch that counts as pace,
 	// so that a stall is noticed before the next dispatch.
-	stallWeight = 4
+	stallWeight = 8
 )
 
 // rankQueue holds the waiting requests of one rank, ordered by deadline.
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -14,11 +14,14 @@
 	reportLife = 500 * time.Millisecond
 	// urgentSlack is the room beyond the slots that the most urgent rank may use; it
 	// keeps slots busy during the round trip between an answer and the next request.
-	urgentSlack = 1.0
+	urgentSlack = 1
 	// shedFactor lowers the ceiling of an upstream that shed a request.
 	shedFactor = 0.8
 	// shedRecovery raises the ceiling per answer, as a share of the slots.
 	shedRecovery = 0.02
+	// windowGrowth and windowDecay change the window with each answer.
+	windowGrowth = 0.1
+	windowDecay  = 0.02
 	// shedPause keeps new work away after a request was shed.
 	shedPause = 2 * time.Millisecond
 )
@@ -44,10 +47,12 @@
 	// ceiling bounds the requests in flight of this entry; shedding lowers it.
 	ceiling     float64
 	pausedUntil time.Time
+	// window bounds the requests of less urgent ranks to a little more than what was in use lately.
+	window float64
 }
 
 func newUpstream(c patcher.Upstream) *upstream {
-	return &upstream{Upstream: c, ceiling: float64(c.Slots), slowness: 1}
+	return &upstream{Upstream: c, ceiling: float64(c.Slots), window: 1, slowness: 1}
 }
 
 // observe takes a report; requests of this entry are taken off, so that only those of others remain.
@@ -75,10 +80,14 @@
 		return 0
 	}
 	room := float64(u.Slots) - u.othersNow(now)
-	if urgent {
-		room += urgentSlack
+	limit := max(int(min(room, u.ceiling)*(1-u.away(now))), 1)
+	if !urgent {
+		return min(limit, int(u.window))
 	}
-	return max(int(min(room, u.ceiling)*(1-u.away(now))), 1)
+	if u.ceiling > float64(limit) {
+		limit += urgentSlack
+	}
+	return limit
 }
 
 func (u *upstream) shed(now time.Time) {
@@ -86,6 +95,14 @@
 	u.pausedUntil = now.Add(shedPause)
 }
 
+// answered raises the ceiling, and the window if it was in use. Without the window
+// all entries would fill the free slots of an upstream at once when a flood begins,
+// before any report tells them of each other.
 func (u *upstream) answered() {
+	if float64(u.inFlight+1) >= u.window {
+		u.window = min(u.window+windowGrowth, float64(u.Slots))
+	} else {
+		u.window = max(u.window-windowDecay, 1)
+	}
 	u.ceiling = min(u.ceiling+shedRecovery*float64(u.Slots), float64(u.Slots))
 }
--- a/internal/bencher/scenario.go
+++ b/internal/bencher/scenario.go
@@ -160,7 +160,7 @@
 		}
 	}
 	bulk := func(x float64) Flood { return Flood{Rank: "Bulk", Factor: x, From: early, To: longTime} }
-	urgent := Flood{Rank: "Lookup", Factor: 3, From: early, To: longTime}
+	urgent := Flood{Rank: "Lookup", Factor: 3, From: -early, To: longTime}
 	return []Scenario{
 		steady("steady 30%", 0.3),
 		steady("steady 70%", 0.7),
