Find silent connections and open new ones for once-only work

Cause: requests on a silent connection waited until their deadline, and once-only work could be sent on a connection that had gone silent unnoticed. Change: an attempt open for 8 times the tail latency, while a newer one on the same upstream was answered, closes the upstream's idle connections and is repeated on a new connection if it is idempotent. If nothing newer was answered, the next attempts use new connections, which shows where the fault lies. Once-only work uses a new connection unless the upstream answered within 1 s.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -33,6 +33,8 @@
 	FailureTruncated
 	// FailureStatus means that the answer was an error of the upstream.
 	FailureStatus
+	// FailureSilent means that the connection of the attempt went silent.
+	FailureSilent
 )
 
 const (
@@ -67,6 +69,8 @@
 	Idempotent bool
 	// Spare asks for an upstream with a free slot beyond the known load.
 	Spare bool
+	// Fresh asks for a new connection.
+	Fresh bool
 	// Tried names the upstreams that must not be picked again.
 	Tried []string
 }
@@ -131,7 +135,10 @@
 		return Choice{}, false
 	}
 	a := best.begin(now, p.rank(need.Rank))
-	return Choice{Attempt: a, Name: best.Name, Address: best.Address, Connections: best.Connections}, true
+	return Choice{
+		Attempt: a, Name: best.Name, Address: best.Address,
+		Connections: best.Connections, Fresh: best.fresh(now, need),
+	}, true
 }
 
 func (p *Pool) best(now time.Time, need Need) *upstream {
@@ -231,13 +238,15 @@
 	u := a.upstream
 	switch {
 	case f.NotRun:
+		u.heard(now, a.started)
 		u.shed(now)
 	case f.Failure == FailureCancelled || f.Failure == FailureTimeout && a.slowness(now) < timeoutSlowness:
 		u.outlived(now, a)
-	case f.Failure == FailureTruncated:
+	case f.Failure == FailureTruncated || f.Failure == FailureSilent:
 	case f.Failure != FailureNone:
 		p.failed(now, u)
 	default:
+		u.heard(now, a.started)
 		p.succeeded(now, u, a.started)
 		u.answered()
 		u.learn(now, a)
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -37,6 +37,7 @@
 	learnedAt time.Time
 	health
 	drain
+	silence
 	// doubted is set while the upstream is in the pool's list of doubted ones.
 	doubted  bool
 	probedAt time.Time
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -31,6 +31,8 @@
 	timer      *timer
 	// watch is the timer of a hedged attempt.
 	watch *timer
+	// fresh is set if further attempts need new connections.
+	fresh bool
 }
 
 // attempt is one dispatch of a request.
@@ -39,6 +41,8 @@
 	upstream string
 	slot     *balancer.Attempt
 	open     bool
+	// silence is the timer of the check for a silent connection.
+	silence *timer
 }
 
 func (n *Node) requestArrived(ev RequestArrived) {
@@ -137,10 +141,11 @@
 		Deadline: r.deadline, Fresh: c.Fresh,
 	})
 	n.watch(r)
+	n.watchSilence(r, a)
 }
 
 func (r *request) need() balancer.Need {
-	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank), Idempotent: r.idempotent()}
+	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank), Idempotent: r.idempotent(), Fresh: r.fresh}
 	for _, a := range r.attempts {
 		need.Tried = append(need.Tried, a.upstream)
 	}
@@ -161,6 +166,7 @@
 
 func (n *Node) close(r *request, a *attempt, f balancer.Feedback) {
 	a.open = false
+	n.timers.stop(a.silence)
 	r.service.queue.Ended(r.rank.Name)
 	r.service.pool.Finish(n.now, a.slot, f)
 }
