--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
@@ -30,9 +31,18 @@
 	FailureCancelled
 	// FailureTruncated means that the answer ended early.
 	FailureTruncated
+	// FailureStatus means that the answer was an error of the upstream.
+	FailureStatus
+	// FailureSilent means that the connection of the attempt went silent.
+	FailureSilent
 )
 
-const candidates = 3
+const (
+	// candidates is the number of upstreams compared for a choice.
+	candidates = 4
+	// maxLooks bounds the upstreams looked at while most have no room.
+	maxLooks = 32
+)
 
 // Pool holds the upstreams of one service as one entry sees them.
 type Pool struct {
@@ -40,19 +50,35 @@
 	dataCentre string
 	upstreams  []*upstream
 	byName     map[string]*upstream
+	ranks      map[string]*rankLatency
+	// freed is the upstream that last gave back a slot; it is looked at first when room is rare.
+	freed *upstream
+	// ejected counts the upstreams that are ejected.
+	ejected int
+	// doubted lists the upstreams that get no work because of their state.
+	doubted []*upstream
+	probes  uint64
 }
 
-type upstream struct {
-	patcher.Upstream
-	inFlight int
-	latency  time.Duration
-	failures int
-	retryAt  time.Time
-	draining bool
+// Need describes the request that an upstream is picked for.
+type Need struct {
+	Rank string
+	// Urgent is set for the most urgent rank, which may use the last room of an upstream.
+	Urgent bool
+	// Idempotent is set if the request may run twice.
+	Idempotent bool
+	// Spare asks for an upstream with a free slot beyond the known load.
+	Spare bool
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Tried names the upstreams that must not be picked again.
+	Tried []string
 }
 
 // Choice is the upstream picked for an attempt.
 type Choice struct {
+	// Attempt has to be given to Finish once.
+	Attempt     *Attempt
 	Name        string
 	Address     netip.AddrPort
 	Connections int
@@ -66,100 +92,164 @@
 		random:     rand.New(rand.NewPCG(seed, 1)),
 		dataCentre: dataCentre,
 		byName:     make(map[string]*upstream),
+		ranks:      make(map[string]*rankLatency),
 	}
 }
 
 // Update takes over the upstreams of a service; known ones keep their statistics.
-func (p *Pool) Update(_ time.Time, s *patcher.Service) {
+func (p *Pool) Update(now time.Time, s *patcher.Service) {
+	first := len(p.upstreams) == 0
 	byName := make(map[string]*upstream, len(s.Upstreams))
 	p.upstreams = p.upstreams[:0]
 	for _, u := range s.Upstreams {
 		known, ok := p.byName[u.Name]
 		if !ok || known.Address != u.Address {
-			known = &upstream{}
+			known = newUpstream(u)
+			if !first {
+				known.comeBack(now, coldTime)
+			}
+		}
+		if known.Draining && !u.Draining {
+			p.rejoin(now, known)
 		}
 		known.Upstream = u
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
 	}
+	for _, u := range p.byName {
+		if byName[u.Name] != u {
+			p.restore(u)
+			p.trust(u)
+		}
+	}
 	p.byName = byName
+	p.freed = nil
 }
 
-// Pick reserves a slot on an upstream; it fails if none has room.
-func (p *Pool) Pick(now time.Time, exclude []string) (Choice, bool) {
+// Pick reserves a slot on an upstream; it fails if none has room. It compares a
+// few random upstreams (power of d choices, Mitzenmacher 2001), so that several
+// entries with the same knowledge do not all choose the same one.
+func (p *Pool) Pick(now time.Time, need Need) (Choice, bool) {
+	best := p.best(now, need)
+	if best == nil {
+		return Choice{}, false
+	}
+	a := best.begin(now, p.rank(need.Rank))
+	return Choice{
+		Attempt: a, Name: best.Name, Address: best.Address,
+		Connections: best.Connections, Fresh: best.fresh(now, need),
+	}, true
+}
+
+func (p *Pool) best(now time.Time, need Need) *upstream {
+	if len(p.upstreams) == 0 {
+		return nil
+	}
 	var best *upstream
-	for range candidates {
-		if len(p.upstreams) == 0 {
-			break
-		}
-		u := p.upstreams[p.random.IntN(len(p.upstreams))]
-		if !u.usable(now, exclude) {
-			continue
+	cost, found := 0.0, 0
+	consider := func(u *upstream) {
+		if u == best || !u.usable(now, need) {
+			return
 		}
-		if best == nil || u.score() < best.score() {
-			best = u
+		found++
+		if c := p.cost(now, u); best == nil || c < cost {
+			best, cost = u, c
 		}
 	}
-	if best == nil {
-		best = p.scan(now, exclude)
+	if p.freed != nil {
+		consider(p.freed)
 	}
-	if best == nil {
-		return Choice{}, false
+	n := len(p.upstreams)
+	start, step := p.random.IntN(n), p.step()
+	for i := range min(n, maxLooks) {
+		if found >= candidates {
+			break
+		}
+		consider(p.upstreams[(start+i*step)%n])
 	}
-	best.inFlight++
-	return Choice{Name: best.Name, Address: best.Address, Connections: best.Connections}, true
+	return best
 }
 
-func (p *Pool) scan(now time.Time, exclude []string) *upstream {
-	for _, u := range p.upstreams {
-		if u.usable(now, exclude) {
-			return u
+// step returns a random stride that visits every upstream, so that neighbours in the list are not tied together.
+func (p *Pool) step() int {
+	n := len(p.upstreams)
+	for range 8 {
+		s := 1 + p.random.IntN(n)
+		if gcd(s, n) == 1 {
+			return s
 		}
 	}
-	return nil
+	return 1
 }
 
-func (u *upstream) usable(now time.Time, exclude []string) bool {
-	if u.Draining || u.draining || u.inFlight >= u.Slots || now.Before(u.retryAt) {
-		return false
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
 	}
-	for _, n := range exclude {
-		if n == u.Name {
-			return false
-		}
-	}
-	return true
+	return a
 }
 
-func (u *upstream) score() float64 {
-	return float64(u.inFlight+1) / float64(u.Slots) * float64(u.latency+time.Millisecond)
+func (u *upstream) usable(now time.Time, need Need) bool {
+	if u.leaving() || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
+		return false
+	}
+	if need.Spare && float64(u.inFlight)+u.othersNow(now)+1 > float64(u.Slots) {
+		return false
+	}
+	return !slices.Contains(need.Tried, u.Name)
 }
 
 // Feedback is what an attempt taught about its upstream.
 type Feedback struct {
-	Started  time.Time
 	Failure  Failure
 	NotRun   bool
 	Draining bool
 	Report   *Report
 }
 
-// Finish releases the slot of an attempt and learns from it.
-func (p *Pool) Finish(now time.Time, name string, f Feedback) {
-	u, ok := p.byName[name]
-	if !ok {
+// Answered learns from an answer whose rest is still to come; Finish has to follow.
+func (p *Pool) Answered(now time.Time, a *Attempt, f Feedback) {
+	if a.answered {
 		return
 	}
-	u.inFlight--
-	u.draining = u.draining || f.Draining
-	if f.Failure == FailureCancelled {
-		return
+	a.answered = true
+	u := a.upstream
+	u.unlink(a)
+	if f.Draining {
+		p.signal(now, u)
 	}
-	if f.Failure != FailureNone {
-		u.failures = min(u.failures+1, 8)
-		u.retryAt = now.Add(10 * time.Millisecond << u.failures)
-		return
+	if f.Report != nil {
+		u.observe(now, *f.Report)
+	}
+	p.learn(now, a, f)
+}
+
+// Finish releases the slot of an attempt and learns from it.
+func (p *Pool) Finish(now time.Time, a *Attempt, f Feedback) {
+	a.upstream.inFlight--
+	p.freed = a.upstream
+	p.Answered(now, a, f)
+	if f.Failure == FailureTruncated {
+		p.failed(now, a.upstream)
+	}
+}
+
+func (p *Pool) learn(now time.Time, a *Attempt, f Feedback) {
+	u := a.upstream
+	switch {
+	case f.NotRun:
+		u.heard(now, a.started)
+		u.shed(now)
+	case f.Failure == FailureCancelled || f.Failure == FailureTimeout && a.slowness(now) < timeoutSlowness:
+		u.outlived(now, a)
+	case f.Failure == FailureTruncated || f.Failure == FailureSilent:
+	case f.Failure != FailureNone:
+		p.failed(now, u)
+	default:
+		u.heard(now, a.started)
+		p.succeeded(now, u, a.started)
+		u.answered()
+		u.learn(now, a)
+		a.rank.observe(now.Sub(a.started))
 	}
-	u.failures = 0
-	u.latency += (now.Sub(f.Started) - u.latency) / 8
 }
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -99,6 +99,11 @@
 		n.upstreamFinished(ev)
 	case AttemptFailed:
 		n.attemptFailed(ev)
+	case ProbeAnswered:
+		n.probeAnswered(ev)
+	case HostsListed:
+		n.hostsChanged(ev)
+		n.hostsListed(ev)
 	case TimerFired:
 		n.timers.set = time.Time{}
 	case LogRead:
@@ -113,8 +118,6 @@
 		n.peerMessage(ev)
 	case KeysAsked:
 		n.keysAsked(ev)
-	case HostsListed:
-		n.hostsListed(ev)
 	case EntriesAsked:
 		n.entriesAsked(ev)
 	case StopRequested:
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -1,9 +1,7 @@
 package reducer
 
 import (
-	"hash/fnv"
-	"maps"
-	"slices"
+	"net/http"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/admitter"
@@ -15,15 +13,6 @@
 // maxAttempts bounds the dispatches of one request.
 const maxAttempts = 3
 
-// service is the state of one service at this node.
-type service struct {
-	node    *Node
-	config  patcher.Service
-	pool    *balancer.Pool
-	queue   *admitter.Queue
-	removed bool
-}
-
 // request is a caller's request from its arrival to its end.
 type request struct {
 	id         RequestID
@@ -31,7 +20,9 @@
 	rank       patcher.Rank
 	deadline   time.Time
 	replayable bool
-	queued     bool
+	// size is the length of the held body in bytes.
+	size   int64
+	queued bool
 	// relayed is set once an answer was given to the caller.
 	relayed bool
 	// mayHaveRun is set once an attempt ended without certainty that it did not run.
@@ -40,27 +31,20 @@
 	timer      *timer
 	// once is nil unless the rank is once-only.
 	once *onceRequest
+	// watch is the timer of a hedged attempt.
+	watch *timer
+	// fresh is set if further attempts need new connections.
+	fresh bool
 }
 
 // attempt is one dispatch of a request.
 type attempt struct {
 	id       AttemptID
 	upstream string
-	started  time.Time
+	slot     *balancer.Attempt
 	open     bool
-}
-
-func newService(n *Node, name string) *service {
-	h := fnv.New64a()
-	_, _ = h.Write([]byte(name))
-	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New()}
-}
-
-func (s *service) update(c *patcher.Service) {
-	s.config = *c
-	s.removed = false
-	s.pool.Update(s.node.now, c)
-	s.queue.Update(c.Ranks)
+	// silence is the timer of the check for a silent connection.
+	silence *timer
 }
 
 func (n *Node) requestArrived(ev RequestArrived) {
@@ -87,12 +71,22 @@
 		n.onceArrived(r, ev)
 		return
 	}
+	if ev.Replayable {
+		r.size = max(ev.BodySize, 0)
+	}
 	n.requests[ev.ID] = r
+	s.earn()
 	n.enqueue(r)
 }
 
+// enqueue lets a request wait for a slot; one that was accepted before is not refused for load.
 func (n *Node) enqueue(r *request) {
-	code := r.service.queue.Offer(n.now, admitter.Item{ID: uint64(r.id), Rank: r.rank.Name, Deadline: r.deadline})
+	code := classifier.OK
+	if len(r.attempts) == 0 {
+		code = r.service.queue.Offer(n.now, r.item())
+	} else if !r.service.queue.Return(r.item()) {
+		code = classifier.UnknownRank
+	}
 	if code != classifier.OK {
 		n.refuseRequest(r, code)
 		return
@@ -104,55 +98,78 @@
 	n.pump(r.service)
 }
 
+func (r *request) item() admitter.Item {
+	return admitter.Item{
+		ID: uint64(r.id), Rank: r.rank.Name, Deadline: r.deadline,
+		Size: r.size, Expected: r.service.pool.Expected(r.rank.Name),
+	}
+}
+
+// maxAside bounds the repeats that are passed over because they can't go where they have been.
+const maxAside = 4
+
 // pump dispatches waiting requests while upstreams have room.
 func (n *Node) pump(s *service) {
-	for {
-		it, ok := s.queue.Take(n.now)
+	var aside []admitter.Item
+	for len(aside) < maxAside {
+		it, ok := s.queue.Next()
 		if !ok {
-			return
+			break
 		}
 		r := n.requests[RequestID(it.ID)]
 		if !n.now.Before(r.deadline) {
+			s.queue.Remove(it.ID)
 			r.queued = false
 			n.refuseRequest(r, classifier.DeadlinePassed)
 			continue
 		}
-		choice, ok := s.pool.Pick(n.now, r.tried())
-		if !ok {
-			s.queue.Offer(n.now, it)
-			return
+		choice, ok := s.pool.Pick(n.now, r.need())
+		if ok {
+			s.queue.Take(n.now, it.ID)
+			r.queued = false
+			n.dispatch(r, choice)
+			continue
+		}
+		if len(r.attempts) == 0 {
+			break
 		}
-		r.queued = false
-		n.dispatch(r, choice)
+		s.queue.Remove(it.ID)
+		aside = append(aside, it)
+	}
+	for _, it := range aside {
+		s.queue.Return(it)
 	}
 }
 
 func (n *Node) dispatch(r *request, c balancer.Choice) {
 	if r.once != nil && !r.once.claim.record.Dispatch() {
-		r.service.pool.Finish(n.now, c.Name, balancer.Feedback{Failure: balancer.FailureCancelled})
+		r.service.pool.Finish(n.now, c.Attempt, balancer.Feedback{Failure: balancer.FailureCancelled})
 		n.refuseRequest(r, classifier.KeyInProgress)
 		return
 	}
 	a := &attempt{
 		id:       AttemptID{Request: r.id, Number: uint32(len(r.attempts)) + 1},
 		upstream: c.Name,
-		started:  n.now,
+		slot:     c.Attempt,
 		open:     true,
 	}
 	r.attempts = append(r.attempts, a)
+	r.service.queue.Started(r.rank.Name)
 	n.emit(Dispatch{
 		Attempt: a.id, Service: r.service.config.Name, Rank: r.rank.Name,
 		Upstream: c.Name, Address: c.Address, Connections: c.Connections,
 		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil,
 	})
+	n.watch(r)
+	n.watchSilence(r, a)
 }
 
-func (r *request) tried() []string {
-	var names []string
+func (r *request) need() balancer.Need {
+	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank), Idempotent: r.idempotent(), Fresh: r.fresh}
 	for _, a := range r.attempts {
-		names = append(names, a.upstream)
+		need.Tried = append(need.Tried, a.upstream)
 	}
-	return names
+	return need
 }
 
 func (n *Node) find(id AttemptID) (*request, *attempt) {
@@ -169,8 +186,9 @@
 
 func (n *Node) close(r *request, a *attempt, f balancer.Feedback) {
 	a.open = false
-	f.Started = a.started
-	r.service.pool.Finish(n.now, a.upstream, f)
+	n.timers.stop(a.silence)
+	r.service.queue.Ended(r.rank.Name)
+	r.service.pool.Finish(n.now, a.slot, f)
 }
 
 func (n *Node) upstreamAnswered(ev UpstreamAnswered) {
@@ -184,14 +202,41 @@
 		n.pump(r.service)
 		return
 	}
-	r.relayed = r.once == nil || n.onceAnswered(r, ev)
-	if r.relayed {
-		n.emit(Relay{Attempt: a.id})
+	f := balancer.Feedback{Draining: ev.Draining, Report: ev.Report}
+	if upstreamError(ev.Status) {
+		f.Failure = balancer.FailureStatus
+		if r.open() > 1 || r.idempotent() && n.canRepeat(r) && r.service.repeats.saved >= 1 {
+			n.close(r, a, f)
+			n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown)
+			n.pump(r.service)
+			return
+		}
 	}
-	if ev.Whole || !r.relayed {
-		n.close(r, a, balancer.Feedback{Draining: ev.Draining, Report: ev.Report})
+	r.relayed = r.once == nil || n.onceAnswered(r, ev)
+	if !r.relayed {
+		n.close(r, a, f)
 		n.end(r)
 		n.pump(r.service)
+		return
+	}
+	n.emit(Relay{Attempt: a.id})
+	n.cancelOthers(r, a)
+	if !ev.Whole {
+		r.service.pool.Answered(n.now, a.slot, f)
+		return
+	}
+	n.close(r, a, f)
+	n.end(r)
+	n.pump(r.service)
+}
+
+// upstreamError reports whether a status tells of a fault of the upstream rather than of the request.
+func upstreamError(status int) bool {
+	switch status {
+	case http.StatusInternalServerError, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return true
+	default:
+		return false
 	}
 }
 
@@ -242,18 +287,27 @@
 	if outcome != classifier.OutcomeNotRun {
 		r.mayHaveRun = true
 	}
+	if r.open() > 0 {
+		return
+	}
 	if r.once != nil && !r.mayHaveRun && !n.onceNotRun(r) {
 		n.end(r)
 		return
 	}
-	safe := !r.mayHaveRun || r.rank.Kind == patcher.Idempotent
-	if safe && r.replayable && len(r.attempts) < maxAttempts && n.now.Before(r.deadline) {
+	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) && r.service.repeats.spend() {
 		n.enqueue(r)
 		return
 	}
 	n.refuseRequest(r, code)
 }
 
+func (r *request) idempotent() bool { return r.rank.Kind == patcher.Idempotent }
+
+// canRepeat reports whether a request can be sent again, apart from whether that is safe.
+func (n *Node) canRepeat(r *request) bool {
+	return r.replayable && len(r.attempts) < maxAttempts && n.now.Before(r.deadline)
+}
+
 // outcome is that of a request which ends without an answer.
 func (r *request) outcome() classifier.Outcome {
 	if r.mayHaveRun {
@@ -302,9 +356,10 @@
 
 func (n *Node) end(r *request) {
 	if r.queued {
-		r.service.queue.Remove(uint64(r.id), r.rank.Name)
+		r.service.queue.Remove(uint64(r.id))
 	}
 	n.timers.stop(r.timer)
+	n.timers.stop(r.watch)
 	delete(n.requests, r.id)
 	if r.once != nil {
 		n.onceEnd(r)
@@ -314,5 +369,3 @@
 func (n *Node) refuse(id RequestID, code classifier.Code) {
 	n.emit(Refuse{ID: id, Code: code, Outcome: classifier.OutcomeNotRun})
 }
-
-func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
