Add the commands serve, check, patch, config, audit, status and fake

Cause: nothing could run as a process. Change: serve runs an entry from a settings file and stops as planned on the first signal; the other commands check files, call the administration and run stand-ins of the log, host list and upstreams as separate processes. Measured: testscript runs log, list, upstream and entry as processes: a patch is accepted, a stale one refused with status 3, a 300 ms lookup that runs when the stop begins is answered, and a second signal ends the process at once. Conclusion: the planned stop closes listeners and completes requests; telling peers and callers first waits for the driver to carry out StopRequested.

--- /dev/null
+++ b/internal/commander/commander_test.go
@@ -0,0 +1,116 @@
+package commander
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"azuretrestle": func() { os.Exit(Main(os.Args[1:], os.Stdout, os.Stderr)) },
+	})
+}
+
+// ports is the number of free ports that a script gets as $P1, $P2 and so on.
+const ports = 9
+
+func freePorts(env *testscript.Env) error {
+	var held []net.Listener
+	for i := range ports {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return err
+		}
+		held = append(held, l)
+		env.Setenv("P"+strconv.Itoa(i+1), strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
+	}
+	for _, l := range held {
+		_ = l.Close()
+	}
+	return nil
+}
+
+// waitURL waits until a URL answers at all.
+func waitURL(ts *testscript.TestScript, _ bool, args []string) {
+	for range 500 {
+		resp, err := http.Get(args[0])
+		if err == nil {
+			_ = resp.Body.Close()
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	ts.Fatalf("%s doesn't answer", args[0])
+}
+
+// get writes status, outcome and body of an answer to a file, or the error.
+func get(ts *testscript.TestScript, _ bool, args []string) {
+	ts.Check(os.WriteFile(ts.MkAbs(args[1]), fetch(args[0]), 0o600))
+}
+
+// pending counts the answers that getlater waits for.
+var pending sync.WaitGroup
+
+// getLater does get in the background; waitget waits for all that do.
+func getLater(ts *testscript.TestScript, _ bool, args []string) {
+	name := ts.MkAbs(args[1])
+	pending.Go(func() { _ = os.WriteFile(name, fetch(args[0]), 0o600) })
+}
+
+func fetch(url string) []byte {
+	resp, err := http.Get(url)
+	if err != nil {
+		return []byte(err.Error())
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return fmt.Appendf(nil, "%d %s %v\n%s", resp.StatusCode, resp.Header.Get("Azuretrestle-Outcome"), err, body)
+}
+
+// TestScripts guards against commands that don't work together as separate
+// processes; each script says what it checks.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/script",
+		Setup: freePorts,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"waiturl":  waitURL,
+			"get":      get,
+			"getlater": getLater,
+			"waitget":  func(*testscript.TestScript, bool, []string) { pending.Wait() },
+			"status":   exitStatus,
+			"envfile":  envFile,
+		},
+	})
+}
+
+// exitStatus runs a command line and checks the exit status given first.
+func exitStatus(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec(args[1], args[2:]...)
+	got := 0
+	if err != nil {
+		if _, scanErr := fmt.Sscanf(err.Error(), "exit status %d", &got); scanErr != nil {
+			ts.Fatalf("%v", err)
+		}
+	}
+	if strconv.Itoa(got) != args[0] {
+		ts.Fatalf("exit status %d, want %s", got, args[0])
+	}
+}
+
+// envFile replaces the variables in files, since scripts can't know the free ports.
+func envFile(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		text := os.Expand(ts.ReadFile(name), ts.Getenv)
+		ts.Check(os.WriteFile(ts.MkAbs(name), []byte(text), 0o600))
+	}
+}
--- /dev/null
+++ b/internal/commander/errors.go
@@ -0,0 +1,9 @@
+package commander
+
+import "github.com/pkg/errors"
+
+var (
+	errUnknownFake = errors.New("want log, list or upstream")
+	errFakeSize    = errors.New("an upstream needs at least one slot and no negative work")
+	errNoUpstreams = errors.New("the patch file puts no upstreams")
+)
--- /dev/null
+++ b/internal/commander/remote.go
@@ -0,0 +1,141 @@
+package commander
+
+import (
+	"context"
+	"encoding/json"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/azuretrestle/azuretrestle/internal/administrator"
+	"github.com/azuretrestle/azuretrestle/internal/parser"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// callPatience bounds a call to an entry; it exceeds the time that an entry waits for a verdict by default.
+const callPatience = 30 * time.Second
+
+// call runs f with a client of the entry that the flags name.
+func (r remote) call(f func(context.Context, *administrator.Client) error) int {
+	e := r.environment
+	c, err := r.client()
+	if err != nil {
+		return e.fail(err)
+	}
+	defer c.Close()
+	ctx, cancel := e.context()
+	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, callPatience)
+	defer stop()
+	if err := f(ctx, c); err != nil {
+		return e.fail(err)
+	}
+	return ExitOK
+}
+
+func (e *environment) printJSON(v any) error {
+	enc := json.NewEncoder(e.stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(v)
+}
+
+func patch(e *environment, args []string) int {
+	f := e.flagSet("patch", "<patch file>", "Submits a patch against the version that its Base names and prints the verdict.\n"+
+		"A stale Base is refused; read the new version with config, adapt the patch and submit again.")
+	r := e.remote(f)
+	if status, ok := e.parse(f, args, 1, 1); !ok {
+		return status
+	}
+	p, err := parser.LoadPatch(f.Arg(0))
+	if err != nil {
+		return e.fail(err)
+	}
+	if p.ID == "" {
+		p.ID = uuid.Must(uuid.NewV7()).String()
+	}
+	return r.call(func(ctx context.Context, c *administrator.Client) error { return e.submit(ctx, c, p, *r.json) })
+}
+
+func (e *environment) submit(ctx context.Context, c *administrator.Client, p patcher.Patch, asJSON bool) error {
+	reply, err := c.Patch(ctx, p)
+	if err != nil {
+		return err
+	}
+	if asJSON {
+		return e.printJSON(reply)
+	}
+	e.printf("accepted as version %d\n", reply.Version)
+	return nil
+}
+
+func config(e *environment, args []string) int {
+	f := e.flagSet("config", "", "Prints the configuration in force at an entry.")
+	r := e.remote(f)
+	asPatch := f.Bool("patch", false, "print it as a patch file against this version, to be edited")
+	if status, ok := e.parse(f, args, 0, 0); !ok {
+		return status
+	}
+	return r.call(func(ctx context.Context, c *administrator.Client) error {
+		cfg, err := c.Config(ctx)
+		if err != nil {
+			return err
+		}
+		if *r.json {
+			return e.printJSON(cfg)
+		}
+		if !*asPatch {
+			e.printf("# version %d\n", cfg.Version)
+		}
+		return parser.WritePatch(e.stdout, cfg)
+	})
+}
+
+func audit(e *environment, args []string) int {
+	f := e.flagSet("audit", "", "Prints the newest lines of the audit trail that the entry holds, oldest first.")
+	r := e.remote(f)
+	if status, ok := e.parse(f, args, 0, 0); !ok {
+		return status
+	}
+	return r.call(func(ctx context.Context, c *administrator.Client) error {
+		lines, err := c.Audit(ctx)
+		if err != nil {
+			return err
+		}
+		if *r.json {
+			return e.printJSON(lines)
+		}
+		for _, l := range lines {
+			e.printf("%s %s %s %s version %d: %s\n", l.At.Format(time.RFC3339), l.Actor, l.Action, l.Subject, l.Version, l.Cause)
+		}
+		return nil
+	})
+}
+
+func status(e *environment, args []string) int {
+	f := e.flagSet("status", "", "Prints what an entry tells about itself.")
+	r := e.remote(f)
+	if status, ok := e.parse(f, args, 0, 0); !ok {
+		return status
+	}
+	return r.call(func(ctx context.Context, c *administrator.Client) error {
+		s, err := c.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if *r.json {
+			return e.printJSON(s)
+		}
+		return e.printStatus(s)
+	})
+}
+
+func (e *environment) printStatus(s administrator.Status) error {
+	e.printf("entry %s in %s, callers at %s, configuration version %d\n", s.Name, s.DataCentre, s.CallerAddress, s.Version)
+	w := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
+	row(w, "service", "ranks", "upstreams", "draining")
+	for _, svc := range s.Services {
+		row(w, svc.Name, svc.Ranks, svc.Upstreams, svc.Draining)
+	}
+	return w.Flush()
+}
