Add the client library

Cause: callers had to choose entries and retry by themselves. Change: pkg/caller asks entries for addresses and keeps the answer until its expiry, retries idempotent and once-only work within a budget, draws keys from GET /keys and keeps the outcomes NotRun, Done and Unknown apart over all attempts. Codes 701 to 705 name the library's own failures. Measured: 17 sequences of answers give the expected outcome and number of sends; 50 failing requests with a budget of 0.1 send at most 57. Before the body type was hidden from net/http, a GET on a broken idle connection was sent 4 times instead of 3; now 3. Conclusion: GET /entries and GET /keys are read as JSON objects with Entries and Expires, and with Keys; entries don't serve them yet.

--- /dev/null
+++ b/pkg/caller/caller_test.go
@@ -0,0 +1,221 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+// fakeEntry answers /call with the next step of its script, the last one again and again.
+type fakeEntry struct {
+	mu      sync.Mutex
+	script  []string
+	got     []http.Header
+	asked   int
+	keys    int
+	expires time.Duration
+	listed  []Entry
+}
+
+func (f *fakeEntry) start(t *testing.T) netip.AddrPort {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.HandleFunc("/call/", f.call)
+	mux.HandleFunc("/entries", func(w http.ResponseWriter, _ *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.asked++
+		_ = json.NewEncoder(w).Encode(wireEntries{Entries: f.listed, Expires: time.Now().Add(f.expires)})
+	})
+	mux.HandleFunc("/keys", func(w http.ResponseWriter, _ *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.keys++
+		_ = json.NewEncoder(w).Encode(wireKeys{Keys: []string{"k" + strconv.Itoa(f.keys), "l" + strconv.Itoa(f.keys)}})
+	})
+	s := httptest.NewServer(mux)
+	t.Cleanup(s.Close)
+	a := netip.MustParseAddrPort(s.Listener.Addr().String())
+	f.listed = append(f.listed, Entry{Name: "e", Address: a})
+	return a
+}
+
+// call understands "OK", "lost", "truncated", "foreign" and "<outcome> <code>".
+func (f *fakeEntry) call(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	f.got = append(f.got, r.Header.Clone())
+	step := f.script[min(len(f.got), len(f.script))-1]
+	f.mu.Unlock()
+	switch step {
+	case "OK":
+		w.Header().Set(headerOutcome, "Done")
+		_, _ = w.Write([]byte("answer"))
+	case "lost":
+		panic(http.ErrAbortHandler)
+	case "truncated":
+		w.Header().Set(headerOutcome, "Done")
+		w.Header().Set("Content-Length", "100")
+		_, _ = w.Write([]byte("ans"))
+	case "foreign":
+		w.WriteHeader(http.StatusOK)
+	default:
+		outcome, code, _ := strings.Cut(step, " ")
+		w.Header().Set(headerOutcome, outcome)
+		w.Header().Set(headerCode, code)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (f *fakeEntry) calls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.got)
+}
+
+// TestOutcomes guards against work that is sent again where that isn't safe,
+// and against an outcome that claims more than the attempts have shown.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		script   string
+		onceOnly bool
+		key      string
+		sent     int
+		outcome  string
+	}{
+		{"answer", "OK", false, "", 1, "Done"},
+		{"lost then answer", "lost,OK", false, "", 2, "Done"},
+		{"truncated then answer", "truncated,OK", false, "", 2, "Done"},
+		{"always lost", "lost", false, "", 3, "Unknown"},
+		{"foreign answer", "foreign,OK", false, "", 2, "Done"},
+		{"full queue", "NotRun 201,OK", false, "", 1, "NotRun"},
+		{"deadline out of reach", "NotRun 202,OK", false, "", 1, "NotRun"},
+		{"stale entry", "NotRun 206,OK", false, "", 2, "Done"},
+		{"no such service", "NotRun 101,OK", false, "", 1, "NotRun"},
+		{"stopping everywhere", "NotRun 205", false, "", 3, "NotRun"},
+		{"once-only answer", "OK", true, "", 1, "Done"},
+		{"once-only lost then answer", "lost,OK", true, "", 2, "Done"},
+		{"once-only lost then refused", "lost,NotRun 201", true, "", 2, "Unknown"},
+		{"once-only refused", "NotRun 201", true, "", 1, "NotRun"},
+		{"once-only with an old key refused", "NotRun 201", true, "old", 1, "Unknown"},
+		{"once-only key reused", "Unknown 403", true, "", 1, "Unknown"},
+		{"once-only result not kept", "lost,Done 406", true, "", 2, "Done"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEntry{script: strings.Split(c.script, ","), expires: time.Minute}
+			client := New([]netip.AddrPort{f.start(t)})
+			defer client.Close()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			_, err := client.Do(ctx, Request{Service: "S", Rank: "R", Path: "/p", OnceOnly: c.onceOnly, Key: c.key})
+			outcome := "Done"
+			var fail *Failure
+			if errors.As(err, &fail) {
+				outcome = fail.Outcome.String()
+				is.Equal(fail.Attempts, c.sent)
+			}
+			is.Equal(outcome, c.outcome)
+			f.check(t, c.sent, c.onceOnly, c.key)
+		})
+	}
+}
+
+// check looks at what the entry received: the marks of once-only work and the deadline.
+func (f *fakeEntry) check(t *testing.T, sent int, onceOnly bool, key string) {
+	t.Helper()
+	is := is.New(t)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	is.Equal(len(f.got), sent)
+	for i, h := range f.got {
+		d, err := time.Parse(time.RFC3339Nano, h.Get(headerDeadline))
+		is.NoErr(err)
+		is.True(time.Until(d) > 3*time.Second)
+		is.Equal(h.Get(headerKey) != "", onceOnly)
+		is.Equal(h.Get(headerKey), f.got[0].Get(headerKey))
+		is.Equal(h.Get(headerAttempt) == "1", onceOnly && i == 0 && key == "")
+	}
+}
+
+// TestNoSilentResend guards against net/http sending once-only work a second
+// time by itself after an idle connection broke.
+func TestNoSilentResend(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEntry{script: []string{"OK", "lost", "OK"}, expires: time.Minute}
+	client := New([]netip.AddrPort{f.start(t)}, WithAttempts(1))
+	defer client.Close()
+	_, err := client.Do(t.Context(), Request{Service: "S", Rank: "R", OnceOnly: true})
+	is.NoErr(err)
+	_, err = client.Do(t.Context(), Request{Service: "S", Rank: "R", OnceOnly: true})
+	var fail *Failure
+	is.True(errors.As(err, &fail))
+	is.Equal(fail.Outcome, classifier.OutcomeUnknown)
+	is.Equal(fail.Key, "l1")
+	is.Equal(f.calls(), 2)
+}
+
+// TestEntries guards against an answer that is used after its expiry, against
+// a question for each request, and against a dead entry that stops the caller.
+func TestEntries(t *testing.T) {
+	is := is.New(t)
+	dead := netip.MustParseAddrPort("127.0.0.1:1")
+	f := &fakeEntry{script: []string{"OK"}, expires: 300 * time.Millisecond, listed: []Entry{{Name: "dead", Address: dead}}}
+	client := New([]netip.AddrPort{dead, f.start(t)}, WithRetryBudget(1, 10))
+	defer client.Close()
+	for range 20 {
+		_, err := client.Do(t.Context(), Request{Service: "S", Rank: "R"})
+		is.NoErr(err)
+	}
+	is.Equal(f.asked, 1)
+	is.Equal(f.calls(), 20)
+	time.Sleep(350 * time.Millisecond)
+	_, err := client.Do(t.Context(), Request{Service: "S", Rank: "R"})
+	is.NoErr(err)
+	is.Equal(f.asked, 2)
+}
+
+// TestBudget guards against retries that multiply the load when every request fails.
+func TestBudget(t *testing.T) {
+	is := is.New(t)
+	f := &fakeEntry{script: []string{"NotRun 206"}, expires: time.Minute}
+	client := New([]netip.AddrPort{f.start(t)}, WithRetryBudget(0.1, 2))
+	defer client.Close()
+	for range 50 {
+		_, err := client.Do(t.Context(), Request{Service: "S", Rank: "R"})
+		is.True(err != nil)
+	}
+	is.True(f.calls() <= 50+2+5) // each request earns a tenth of a retry
+}
+
+// TestCancelled guards against a call that outlives its context.
+func TestCancelled(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+	defer s.Close()
+	defer close(release)
+	client := New([]netip.AddrPort{netip.MustParseAddrPort(s.Listener.Addr().String())}, WithFixedEntries())
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	begin := time.Now()
+	_, err := client.Do(ctx, Request{Service: "S", Rank: "R"})
+	var fail *Failure
+	is.True(errors.As(err, &fail))
+	is.Equal(fail.Outcome, classifier.OutcomeUnknown)
+	is.Equal(fail.Code, classifier.UpstreamTimeout)
+	is.True(time.Since(begin) < 2*time.Second)
+}
--- /dev/null
+++ b/pkg/caller/send.go
@@ -0,0 +1,118 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+// onceBody hides the type of the body from net/http, which would otherwise
+// send a request again by itself: once-only work with the mark of a first
+// attempt, and other work outside the retry budget.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+func (w *work) outgoing(ctx context.Context, a netip.AddrPort) (*http.Request, error) {
+	r := w.request
+	method := r.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	u := "http://" + a.String() + "/call/" + url.PathEscape(r.Service) + "/" + url.PathEscape(r.Rank) + "/" + strings.TrimPrefix(r.Path, "/")
+	req, err := http.NewRequestWithContext(ctx, method, u, onceBody{bytes.NewReader(r.Body)})
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(r.Body))
+	for k, v := range r.Header {
+		req.Header[k] = v
+	}
+	w.mark(ctx, req)
+	return req, nil
+}
+
+func (w *work) mark(ctx context.Context, req *http.Request) {
+	if d, ok := ctx.Deadline(); ok {
+		req.Header.Set(headerDeadline, d.UTC().Format(time.RFC3339Nano))
+	}
+	if !w.request.OnceOnly {
+		return
+	}
+	req.Header.Set(headerKey, w.request.Key)
+	if w.fresh && len(w.tried) == 1 {
+		req.Header.Set(headerAttempt, "1")
+	}
+}
+
+func (c *Client) send(ctx context.Context, a netip.AddrPort, w *work) (*Answer, *Failure) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := w.outgoing(traced, a)
+	if err != nil {
+		return nil, failure(classifier.MalformedRequest, classifier.OutcomeNotRun, err)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, lost(ctx, connected.Load(), err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, c.maxAnswer+1))
+	if err != nil {
+		return nil, lost(ctx, true, err)
+	}
+	if int64(len(body)) > c.maxAnswer {
+		return nil, failure(classifier.AnswerMalformed, classifier.OutcomeUnknown, errors.Errorf("larger than %d bytes", c.maxAnswer))
+	}
+	if f := refusal(resp); f != nil {
+		return nil, f
+	}
+	return &Answer{
+		Status: resp.StatusCode, Header: resp.Header, Body: body,
+		Attempts: len(w.tried), Entry: a, Key: w.request.Key,
+	}, nil
+}
+
+// lost tells a request that never left from one that may have run.
+func lost(ctx context.Context, connected bool, err error) *Failure {
+	code := classifier.EntryLost
+	outcome := classifier.OutcomeUnknown
+	if !connected {
+		code = classifier.EntryUnreachable
+		outcome = classifier.OutcomeNotRun
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		code = classifier.UpstreamTimeout
+	} else if ctx.Err() != nil {
+		code = classifier.CallerGone
+	}
+	return failure(code, outcome, err)
+}
+
+// refusal returns nil if the answer is an upstream's. An answer without an
+// outcome isn't an entry's, and tells nothing.
+func refusal(resp *http.Response) *Failure {
+	outcome := resp.Header.Get(headerOutcome)
+	code, err := strconv.ParseUint(resp.Header.Get(headerCode), 10, 16)
+	if outcome == "" {
+		return failure(classifier.AnswerMalformed, classifier.OutcomeUnknown, errors.New(resp.Status))
+	}
+	if err != nil && outcome == classifier.OutcomeDone.String() {
+		return nil
+	}
+	return failure(classifier.Code(code), classifier.ParseOutcome(outcome), nil)
+}
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -46,7 +46,7 @@
 type Code uint16
 
 // Codes below 200 concern the request itself, 2xx admission, 3xx upstreams,
-// 4xx idempotency keys, 5xx administration, 6xx settings.
+// 4xx idempotency keys, 5xx administration, 6xx settings, 7xx the client library.
 const (
 	OK Code = 0
 
@@ -92,6 +92,12 @@
 	MissingKey     Code = 603
 	BadValue       Code = 604
 	Contradiction  Code = 605
+
+	EntriesUnavailable Code = 701
+	EntryUnreachable   Code = 702
+	EntryLost          Code = 703
+	AnswerMalformed    Code = 704
+	KeysUnavailable    Code = 705
 )
 
 type entry struct {
@@ -145,6 +151,12 @@
 	MissingKey:     {"MissingKey", "a required key is missing", http.StatusBadRequest},
 	BadValue:       {"BadValue", "the value has a wrong form or is out of range", http.StatusBadRequest},
 	Contradiction:  {"Contradiction", "two values contradict each other", http.StatusBadRequest},
+
+	EntriesUnavailable: {"EntriesUnavailable", "no entry tells where to send requests", http.StatusServiceUnavailable},
+	EntryUnreachable:   {"EntryUnreachable", "no connection to the entry could be opened", http.StatusBadGateway},
+	EntryLost:          {"EntryLost", "the connection to the entry was lost after bytes were sent", http.StatusBadGateway},
+	AnswerMalformed:    {"AnswerMalformed", "the answer is not one of an entry", http.StatusBadGateway},
+	KeysUnavailable:    {"KeysUnavailable", "no entry issues idempotency keys", http.StatusServiceUnavailable},
 }
 
 // String returns the code's name, or its number if it has none.
