Add the load tool and the entries command

Cause: nothing offered a mixed load to a running system. Change: internal/loader starts requests at seeded exponential gaps, counts latency from the intended start, checks each answer against its request and compares the runs at the upstream stand-ins with what callers were told; it writes text, JSON and a plot. faker.Upstream.AllRuns returns all counts. Measured: four planted faults (swapped answers, work run twice, a refusal that ran, an answer that never ran) are each found, and none in two clean runs.

--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -78,6 +78,8 @@
 		{"config", "print the configuration in force", config},
 		{"audit", "print the audit trail", audit},
 		{"status", "print the state of an entry", status},
+		{"entries", "print which entries a caller should use", entries},
+		{"load", "offer a load to a running system", load},
 		{"fake", "run a stand-in: log, list or upstream", fake},
 		{"version", "print the version", version},
 	}
--- a/internal/commander/fake.go
+++ b/internal/commander/fake.go
@@ -1,10 +1,10 @@
 package commander
 
 import (
+	"encoding/json"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strconv"
 	"strings"
 	"time"
 
@@ -29,7 +29,7 @@
 		"Runs a stand-in of an outside system until SIGTERM or interrupt. It keeps nothing.\n"+
 			"list shows the entries of the given settings files. upstream runs one upstream, or with -patch all\n"+
 			"upstreams of a patch file at their addresses. POST /fake/fault?Mode=Up, Down or LosesAnswers&Latency=10ms\n"+
-			"changes a log; GET /fake/runs?Key=K tells how often an upstream ran K; POST /fake/drain drains it.")
+			"changes a log; GET /fake/runs tells how often an upstream ran each key; POST /fake/drain drains it.")
 	flags := fakeFlags{
 		listen:    e.address(f, "listen", "127.0.0.1:8001", "`IP:port` to listen on"),
 		name:      f.String("name", "u1", "`name` of the upstream"),
@@ -138,8 +138,9 @@
 func upstreamHandler(u *faker.Upstream) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/", u)
-	mux.HandleFunc("GET /fake/runs", func(w http.ResponseWriter, r *http.Request) {
-		_, _ = w.Write([]byte(strconv.Itoa(u.Runs(r.URL.Query().Get("Key"))) + "\n"))
+	mux.HandleFunc("GET /fake/runs", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(u.AllRuns())
 	})
 	mux.HandleFunc("POST /fake/drain", func(http.ResponseWriter, *http.Request) { u.Drain() })
 	return mux
--- a/internal/faker/upstream.go
+++ b/internal/faker/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"sync"
@@ -50,6 +51,13 @@
 	return u.runs[key]
 }
 
+// AllRuns returns how often each key ran here.
+func (u *Upstream) AllRuns() map[string]int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return maps.Clone(u.runs)
+}
+
 // Drain makes the upstream refuse new work.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
--- /dev/null
+++ b/internal/loader/loader_test.go
@@ -0,0 +1,160 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// fakeSystem is an entry and its upstreams in one; each fault is a way to break an invariant.
+type fakeSystem struct {
+	fault string
+	mu    sync.Mutex
+	keys  int
+	runs  map[string]int
+}
+
+func (f *fakeSystem) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch r.URL.Path {
+	case "/entries":
+		a := r.Context().Value(http.LocalAddrContextKey)
+		_, _ = fmt.Fprintf(w, `{"Entries":[{"Name":"e","Address":"%s"}],"Expires":%q}`, a, time.Now().Add(time.Minute).Format(time.RFC3339Nano))
+	case "/keys":
+		f.keys++
+		_, _ = fmt.Fprintf(w, `{"Keys":["k%d"]}`, f.keys)
+	default:
+		f.call(w, r)
+	}
+}
+
+func (f *fakeSystem) call(w http.ResponseWriter, r *http.Request) {
+	path := "/" + strings.SplitN(r.URL.Path, "/", 5)[4]
+	if f.fault == "swapped" {
+		path += "0"
+	}
+	if f.fault == "slow" {
+		time.Sleep(2 * time.Millisecond)
+	}
+	if f.fault != "never" && f.fault != "refused" {
+		f.runs[r.Header.Get("Idempotency-Key")]++
+	}
+	if f.fault == "twice" {
+		f.runs[r.Header.Get("Idempotency-Key")]++
+	}
+	if f.fault == "lied" || f.fault == "refused" {
+		w.Header().Set("Azuretrestle-Outcome", "NotRun")
+		w.Header().Set("Azuretrestle-Code", "201")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Azuretrestle-Outcome", "Done")
+	_, _ = fmt.Fprintf(w, "t1 %s %s %d\n", r.Method, path, max(r.ContentLength, 0))
+}
+
+func (f *fakeSystem) count(key string) (int, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key], nil
+}
+
+func (f *fakeSystem) run(t *testing.T) *Report {
+	t.Helper()
+	f.runs = make(map[string]int)
+	s := httptest.NewServer(f)
+	t.Cleanup(s.Close)
+	rep, err := Run(t.Context(), Options{
+		Seeds: []netip.AddrPort{netip.MustParseAddrPort(s.Listener.Addr().String())},
+		Ranks: []Rank{
+			{Service: "S", Name: "Lookup", Rate: 400, Target: time.Second, Patience: 2 * time.Second},
+			{Service: "S", Name: "Posting", OnceOnly: true, Rate: 200, Target: time.Second, Patience: 2 * time.Second, Body: 10},
+		},
+		Duration: 300 * time.Millisecond, Seed: 7, Runs: f.count,
+	})
+	is.New(t).NoErr(err)
+	return rep
+}
+
+// TestInvariants guards against a generator that doesn't see a broken promise,
+// and against one that sees one where there is none.
+func TestInvariants(t *testing.T) {
+	for _, c := range []struct{ fault, broken string }{
+		{"", ""},
+		{"refused", ""},
+		{"swapped", "wrong answer to S/Lookup"},
+		{"twice", "S/Posting: key k"},
+		{"lied", "was refused as not run with QueueFull and ran"},
+		{"never", "was answered and never ran"},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeSystem{fault: c.fault}
+			rep := f.run(t)
+			is.Equal(len(rep.Broken) > 0, c.broken != "")
+			is.True(strings.Contains(strings.Join(rep.Broken, "\n"), c.broken))
+			for _, r := range rep.Ranks {
+				is.True(r.Offered > 20)
+				is.Equal(r.Offered, r.Within+r.Late+r.Wrong+r.NotRun+r.Unknown+r.NotSent)
+			}
+		})
+	}
+}
+
+// TestOpenLoop guards against latency that leaves out the time a request
+// waited in the generator: the system serves one request at a time and slower
+// than they are offered, so that a closed loop would show only 2 ms.
+func TestOpenLoop(t *testing.T) {
+	is := is.New(t)
+	f := &fakeSystem{fault: "slow"}
+	rep := f.run(t)
+	is.True(rep.Ranks[0].P99 > 20*time.Millisecond)
+}
+
+// TestSchedule guards against starts that change from run to run with one seed, or miss the rate.
+func TestSchedule(t *testing.T) {
+	is := is.New(t)
+	r := &run{options: Options{Seed: 3, Ranks: []Rank{{Rate: 100}, {Rate: 0}}}, begin: time.Unix(0, 0)}
+	a, b := r.schedules(), r.schedules()
+	is.Equal(len(a), 1)
+	var last time.Time
+	for range 10_000 {
+		last = a[0].next()
+		is.Equal(last, b[0].next())
+	}
+	seconds := last.Sub(r.begin).Seconds()
+	is.True(seconds > 95 && seconds < 105)
+}
+
+// TestOutput guards against a report that can't be read as JSON or text, and against an empty plot file.
+func TestOutput(t *testing.T) {
+	is := is.New(t)
+	rep := new(fakeSystem).run(t)
+	raw, err := json.Marshal(rep)
+	is.NoErr(err)
+	var back Report
+	is.NoErr(json.Unmarshal(raw, &back))
+	is.Equal(back.Ranks, rep.Ranks)
+	var text bytes.Buffer
+	is.NoErr(rep.WriteText(&text))
+	is.True(strings.Contains(text.String(), "S/Posting"))
+	for _, name := range []string{"p.svg", "p.png"} {
+		path := filepath.Join(t.TempDir(), name)
+		is.NoErr(rep.Plot(path))
+		data, err := os.ReadFile(path)
+		is.NoErr(err)
+		is.True(len(data) > 1000)
+	}
+	is.True(rep.Plot("p.txt") != nil)
+}
--- /dev/null
+++ b/internal/loader/plot.go
@@ -0,0 +1,75 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// plotStep is the width of one point of a plot.
+const plotStep = 500 * time.Millisecond
+
+const (
+	plotWidth  = 20 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// series is the p99 of the correct answers of one rank over time.
+type series struct {
+	name   string
+	points plotter.XYs
+}
+
+// newSeries expects results in the order of their intended starts.
+func newSeries(begin time.Time, index int, rank Rank, results []result) series {
+	s := series{name: rank.Service + "/" + rank.Name}
+	h := hdrhistogram.New(1, histogramMax, histogramDigits)
+	end := begin.Add(plotStep)
+	for _, res := range results {
+		if res.rank != index || res.class != classCorrect {
+			continue
+		}
+		for res.at.After(end) {
+			s.add(begin, end, h)
+			end = end.Add(plotStep)
+		}
+		_ = h.RecordValue(min(res.latency.Microseconds(), histogramMax))
+	}
+	s.add(begin, end, h)
+	return s
+}
+
+func (s *series) add(begin, end time.Time, h *hdrhistogram.Histogram) {
+	if h.TotalCount() == 0 {
+		return
+	}
+	p99 := time.Duration(h.ValueAtQuantile(99)) * time.Microsecond
+	s.points = append(s.points, plotter.XY{X: end.Sub(begin).Seconds(), Y: float64(p99) / float64(time.Millisecond)})
+	h.Reset()
+}
+
+// Plot writes the p99 over time to a file whose name ends in .png or .svg; it
+// fails on another ending or if the file can't be written.
+func (rep *Report) Plot(path string) error {
+	p := plot.New()
+	p.Title.Text = "p99 of correct answers, from the intended start"
+	p.X.Label.Text = "time (s)"
+	p.Y.Label.Text = "latency (ms)"
+	p.Y.Min = 0
+	p.Legend.Top = true
+	var lines []any
+	for _, s := range rep.series {
+		if len(s.points) > 0 {
+			lines = append(lines, s.name, s.points)
+		}
+	}
+	if err := plotutil.AddLinePoints(p, lines...); err != nil {
+		return errors.Wrap(err, "plot")
+	}
+	return errors.Wrap(p.Save(plotWidth, plotHeight, path), "plot")
+}
--- /dev/null
+++ b/internal/loader/report.go
@@ -0,0 +1,150 @@
+package loader
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a run.
+type Report struct {
+	Begin    time.Time
+	Duration time.Duration
+	Seed     uint64
+	// FixedEntries is set if the entries didn't tell which of them to use.
+	FixedEntries bool
+	Ranks        []RankReport
+	// Broken lists each breach of an invariant that the load itself showed.
+	Broken []string
+	series []series
+}
+
+// RankReport is the result of one rank.
+type RankReport struct {
+	Service string
+	Rank    string
+	Offered int
+	// Within counts correct answers within the target, Late those after it.
+	Within  int
+	Late    int
+	Wrong   int
+	NotRun  int
+	Unknown int
+	// NotSent counts requests that the generator couldn't start; they are among those offered.
+	NotSent int
+	// P50, P99, P999 and Max are of correct answers, from the intended start, in nanoseconds.
+	P50  time.Duration
+	P99  time.Duration
+	P999 time.Duration
+	Max  time.Duration
+	// Codes counts the result codes of requests without an answer.
+	Codes map[string]int
+	// Executions counts work by the number of times it ran; nil if that wasn't counted.
+	Executions map[int]int `json:",omitempty"`
+	// Uncounted is the work whose number of runs could not be read.
+	Uncounted int
+}
+
+// Share returns the share of offered requests that were answered correctly within the target.
+func (r RankReport) Share() float64 {
+	if r.Offered == 0 {
+		return 0
+	}
+	return float64(r.Within) / float64(r.Offered)
+}
+
+const (
+	// maxBroken bounds the breaches that are listed.
+	maxBroken = 50
+	// Histograms cover 1 microsecond to 10 minutes with 3 digits.
+	histogramMax    = int64(10 * time.Minute / time.Microsecond)
+	histogramDigits = 3
+)
+
+func (r *run) report() *Report {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	rep := &Report{Begin: r.begin, Duration: r.options.Duration, Seed: r.options.Seed, Broken: []string{}}
+	slices.SortFunc(r.results, func(a, b result) int { return a.at.Compare(b.at) })
+	for i, rank := range r.options.Ranks {
+		rep.Ranks = append(rep.Ranks, r.rankReport(i, rank, rep))
+		rep.series = append(rep.series, newSeries(r.begin, i, rank, r.results))
+	}
+	return rep
+}
+
+func (r *run) rankReport(index int, rank Rank, rep *Report) RankReport {
+	out := RankReport{Service: rank.Service, Rank: rank.Name, Codes: make(map[string]int)}
+	h := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, res := range r.results {
+		if res.rank != index {
+			continue
+		}
+		out.add(rank, res, h)
+		if res.class == classWrong {
+			rep.broken("wrong answer to %s/%s: %s", rank.Service, rank.Name, res.detail)
+		}
+		if r.options.Runs != nil && res.key != "" {
+			r.count(&out, rank, res, rep)
+		}
+	}
+	at := func(q float64) time.Duration { return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond }
+	out.P50 = at(50)
+	out.P99 = at(99)
+	out.P999 = at(99.9)
+	out.Max = time.Duration(h.Max()) * time.Microsecond
+	return out
+}
+
+func (r *RankReport) add(rank Rank, res result, h *hdrhistogram.Histogram) {
+	r.Offered++
+	switch res.class {
+	case classCorrect:
+		_ = h.RecordValue(min(res.latency.Microseconds(), histogramMax))
+		if res.latency <= rank.Target {
+			r.Within++
+		} else {
+			r.Late++
+		}
+	case classWrong:
+		r.Wrong++
+	case classNotRun:
+		r.NotRun++
+		r.Codes[res.code.String()]++
+	case classUnknown:
+		r.Unknown++
+		r.Codes[res.code.String()]++
+	case classNotSent:
+		r.NotSent++
+	}
+}
+
+// count compares how often the work ran with what the caller was told.
+func (r *run) count(out *RankReport, rank Rank, res result, rep *Report) {
+	runs, err := r.options.Runs(res.key)
+	if err != nil {
+		out.Uncounted++
+		return
+	}
+	if out.Executions == nil {
+		out.Executions = make(map[int]int)
+	}
+	out.Executions[runs]++
+	if rank.OnceOnly && runs > 1 {
+		rep.broken("%s/%s: key %s ran %d times", rank.Service, rank.Name, res.key, runs)
+	}
+	if res.class == classNotRun && runs > 0 {
+		rep.broken("%s/%s: key %s was refused as not run with %s and ran", rank.Service, rank.Name, res.key, res.code)
+	}
+	if res.class == classCorrect && runs == 0 {
+		rep.broken("%s/%s: key %s was answered and never ran", rank.Service, rank.Name, res.key)
+	}
+}
+
+func (rep *Report) broken(format string, args ...any) {
+	if len(rep.Broken) < maxBroken {
+		rep.Broken = append(rep.Broken, fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/loader/request.go
@@ -0,0 +1,97 @@
+package loader
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/azuretrestle/azuretrestle/pkg/caller"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+// class is how a request ended.
+type class uint8
+
+const (
+	classCorrect class = iota
+	classWrong
+	classNotRun
+	classUnknown
+	classNotSent
+)
+
+// result is what one request showed.
+type result struct {
+	rank    int
+	at      time.Time
+	latency time.Duration
+	class   class
+	code    classifier.Code
+	key     string
+	detail  string
+}
+
+// one sends a request with a path of its own, so that an answer to another
+// request is seen as wrong.
+func (r *run) one(ctx context.Context, s *schedule, n int, at time.Time) {
+	rank := r.options.Ranks[s.rank]
+	ctx, cancel := context.WithDeadline(ctx, at.Add(rank.Patience))
+	defer cancel()
+	req := r.request(rank, s.rank, n)
+	a, err := r.clients[n%len(r.clients)].Do(ctx, req)
+	res := result{rank: s.rank, at: at, latency: time.Since(at), key: req.Header.Get("Idempotency-Key")}
+	res.judge(req, a, err)
+	r.record(res)
+}
+
+func (r *run) request(rank Rank, index, n int) caller.Request {
+	req := caller.Request{
+		Service: rank.Service, Rank: rank.Name, OnceOnly: rank.OnceOnly,
+		Path: fmt.Sprintf("/%s/%s/%d", rank.Name, r.id, n), Header: make(http.Header),
+	}
+	if rank.Body > 0 || rank.OnceOnly {
+		req.Method = http.MethodPost
+		req.Body = bytes.Repeat([]byte{'x'}, rank.Body)
+	}
+	if !rank.OnceOnly {
+		// The stand-ins count runs by this header, for idempotent work too.
+		req.Header.Set("Idempotency-Key", fmt.Sprintf("%s-%d-%d", r.id, index, n))
+	}
+	return req
+}
+
+func (res *result) judge(req caller.Request, a *caller.Answer, err error) {
+	var f *caller.Failure
+	if errors.As(err, &f) {
+		res.class = classUnknown
+		if f.Outcome == classifier.OutcomeNotRun {
+			res.class = classNotRun
+		}
+		res.code = f.Code
+		if f.Key != "" {
+			res.key = f.Key
+		}
+		return
+	}
+	if a.Key != "" {
+		res.key = a.Key
+	}
+	if !matches(req, a) {
+		res.class = classWrong
+		res.detail = fmt.Sprintf("status %d, body %.80q to %s", a.Status, a.Body, req.Path)
+	}
+}
+
+// matches reports whether the answer is that of the upstream stand-in to exactly this request.
+func matches(req caller.Request, a *caller.Answer) bool {
+	method := req.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	want := fmt.Sprintf(" %s %s %d\n", method, req.Path, len(req.Body))
+	return a.Status == http.StatusOK && bytes.HasSuffix(a.Body, []byte(want))
+}
--- /dev/null
+++ b/internal/loader/run.go
@@ -0,0 +1,178 @@
+package loader
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/azuretrestle/azuretrestle/pkg/caller"
+)
+
+// run is the state of one run.
+type run struct {
+	options Options
+	id      string
+	begin   time.Time
+	clients []*caller.Client
+	slots   chan struct{}
+	work    sync.WaitGroup
+
+	mu      sync.Mutex
+	results []result
+	offered int
+	done    int
+}
+
+// Run offers the load until the duration is over or ctx ends, and returns what
+// came back. It fails only if it can't begin.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	if len(o.Seeds) == 0 || len(o.Ranks) == 0 || o.Duration <= 0 {
+		return nil, errors.New("a run needs entries, ranks and a duration")
+	}
+	if o.InFlight <= 0 {
+		o.InFlight = defaultInFlight
+	}
+	if len(o.DataCentres) == 0 {
+		o.DataCentres = []string{""}
+	}
+	r := &run{options: o, id: uuid.NewString(), slots: make(chan struct{}, o.InFlight)}
+	fixed := !tellsEntries(ctx, o.Seeds)
+	r.openClients(fixed)
+	defer r.closeClients()
+	r.offer(ctx)
+	report := r.report()
+	report.FixedEntries = fixed
+	return report, nil
+}
+
+// tellsEntries reports whether an entry answers which entries to use; one of an
+// earlier version answers 404, and then the seeds are used as they are.
+func tellsEntries(ctx context.Context, seeds []netip.AddrPort) bool {
+	for _, a := range seeds {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/entries", http.NoBody)
+		if err != nil {
+			cancel()
+			continue
+		}
+		resp, err := http.DefaultClient.Do(req)
+		cancel()
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusNotFound {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *run) openClients(fixed bool) {
+	for _, dc := range r.options.DataCentres {
+		opts := []caller.Option{caller.WithDataCentre(dc)}
+		if fixed {
+			opts = append(opts, caller.WithFixedEntries())
+		}
+		r.clients = append(r.clients, caller.New(r.options.Seeds, opts...))
+	}
+}
+
+func (r *run) closeClients() {
+	for _, c := range r.clients {
+		c.Close()
+	}
+}
+
+// offer starts the requests and waits for the last of them.
+func (r *run) offer(ctx context.Context) {
+	r.begin = time.Now()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	last := r.begin.Add(r.options.Duration)
+	for _, s := range r.schedules() {
+		r.work.Go(func() { r.follow(ctx, s, last) })
+	}
+	finished := make(chan struct{})
+	go func() {
+		r.work.Wait()
+		close(finished)
+	}()
+	r.watch(ctx, finished)
+	<-finished
+}
+
+func (r *run) watch(ctx context.Context, finished <-chan struct{}) {
+	t := time.NewTicker(progressInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-finished:
+			return
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			r.progress(now)
+		}
+	}
+}
+
+func (r *run) progress(now time.Time) {
+	if r.options.Progress == nil {
+		return
+	}
+	r.mu.Lock()
+	p := Progress{Elapsed: now.Sub(r.begin), Offered: r.offered, Answered: r.done}
+	r.mu.Unlock()
+	r.options.Progress(p)
+}
+
+// follow starts the requests of one rank at their intended times. If the
+// generator itself lags, the delay counts as latency.
+func (r *run) follow(ctx context.Context, s *schedule, last time.Time) {
+	for n := 0; ; n++ {
+		at := s.next()
+		if at.After(last) || !sleepUntil(ctx, at) {
+			return
+		}
+		r.mu.Lock()
+		r.offered++
+		r.mu.Unlock()
+		select {
+		case r.slots <- struct{}{}:
+			r.work.Go(func() {
+				defer func() { <-r.slots }()
+				r.one(ctx, s, n, at)
+			})
+		default:
+			r.record(result{rank: s.rank, at: at, class: classNotSent})
+		}
+	}
+}
+
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (r *run) record(res result) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done++
+	r.results = append(r.results, res)
+}
