Suspect connections whose attempts lost their hedges

Cause: a hedge answers long before an attempt on a silent connection is overdue, so that the idle connections to such an upstream were never closed. Change: two attempts in a row that were given up after the tail latency make the next ones use new connections; if one of those is answered, the idle connections are closed, at most once a second per upstream.

--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -27,7 +27,11 @@
 
 // outlived takes an attempt that ended without an answer; it counts only if it was slower than known.
 func (u *upstream) outlived(now time.Time, a *Attempt) {
-	a.rank.observeTail(now.Sub(a.started))
+	age := now.Sub(a.started)
+	if a.rank.tail > 0 && float64(age) > a.rank.tail {
+		u.stalled(now)
+	}
+	a.rank.observeTail(age)
 	if a.slowness(now) > u.faded(now) {
 		u.learn(now, a)
 	}
--- a/internal/balancer/silence.go
+++ b/internal/balancer/silence.go
@@ -13,6 +13,9 @@
 	freshAfter = time.Second
 	// closeInterval bounds how often the idle connections to an upstream are closed.
 	closeInterval = time.Second
+	// suspectStalls is the number of stalls in a row that make connections suspect; a
+	// single one is most often a slow request.
+	suspectStalls = 2
 )
 
 // silence is what tells silent connections from a slow upstream.
@@ -24,6 +27,10 @@
 	// attempts then use new connections, which shows whether only the old ones are silent.
 	suspectedAt time.Time
 	closedAt    time.Time
+	// stalls counts the attempts in a row that were given up after the tail latency.
+	stalls int
+	// closeDue is set once a new connection was answered where older ones had stalled.
+	closeDue bool
 }
 
 // SilenceAfter returns the time from its start after which an attempt should be looked at.
@@ -44,10 +51,15 @@
 	return false
 }
 
-// CloseIdle reports whether the idle connections to the upstream of a silent
-// attempt should be closed; it does so at most once a second.
-func (p *Pool) CloseIdle(now time.Time, a *Attempt) (Choice, bool) {
+// CloseIdle reports whether the idle connections to the upstream of an attempt
+// should be closed, at most once a second: if the attempt itself is silent, or if
+// earlier ones stalled and one on a new connection was answered.
+func (p *Pool) CloseIdle(now time.Time, a *Attempt, silent bool) (Choice, bool) {
 	u := a.upstream
+	if !silent && !u.closeDue {
+		return Choice{}, false
+	}
+	u.closeDue = false
 	if !u.closedAt.IsZero() && now.Sub(u.closedAt) < closeInterval {
 		return Choice{}, false
 	}
@@ -60,8 +72,18 @@
 	if started.After(s.answeredStart) {
 		s.answeredStart = started
 	}
-	if started.After(s.suspectedAt) {
+	s.stalls = 0
+	if !s.suspectedAt.IsZero() && started.After(s.suspectedAt) {
 		s.suspectedAt = time.Time{}
+		s.closeDue = true
+	}
+}
+
+// stalled notes an attempt that was given up after the tail latency.
+func (s *silence) stalled(now time.Time) {
+	s.stalls++
+	if s.stalls >= suspectStalls && s.suspectedAt.IsZero() {
+		s.suspectedAt = now
 	}
 }
 
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -169,6 +169,7 @@
 	n.timers.stop(a.silence)
 	r.service.queue.Ended(r.rank.Name)
 	r.service.pool.Finish(n.now, a.slot, f)
+	n.closeIdle(r.service, a, false)
 }
 
 func (n *Node) upstreamAnswered(ev UpstreamAnswered) {
--- a/internal/reducer/silence.go
+++ b/internal/reducer/silence.go
@@ -14,6 +14,12 @@
 	a.silence = n.after(deadline, func() { n.checkSilence(r, a) })
 }
 
+func (n *Node) closeIdle(s *service, a *attempt, silent bool) {
+	if c, ok := s.pool.CloseIdle(n.now, a.slot, silent); ok {
+		n.emit(CloseIdle{Service: s.config.Name, Upstream: c.Name, Address: c.Address})
+	}
+}
+
 // checkSilence closes idle connections if an attempt is silent, and repeats
 // idempotent work on a new connection. Other work may have run, so it waits on.
 func (n *Node) checkSilence(r *request, a *attempt) {
@@ -26,9 +32,7 @@
 		n.watchSilence(r, a)
 		return
 	}
-	if c, ok := s.pool.CloseIdle(n.now, a.slot); ok {
-		n.emit(CloseIdle{Service: s.config.Name, Upstream: c.Name, Address: c.Address})
-	}
+	n.closeIdle(s, a, true)
 	other := r.open() > 1
 	if !r.idempotent() || !other && (!n.canRepeat(r) || s.repeats.saved < 1) {
 		return
