Show upstream states and close gaps around removed parts

Cause: the status page and the audit trail need the state of upstreams. A removed upstream could be picked once more when its last attempt ended, a removed rank lost its waiting requests, and an ejected upstream of a service without idempotent ranks never came back. Change: Node.Upstreams and audit records for Leaving, Ejected (from 4 failures in a row) and Serving; removed upstreams and ranks end their work and get no more; once-only work may be the trial after a failed dial, a good probe or 30 s.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -36,10 +36,10 @@
 // New returns an empty queue.
 func New() *Queue { return &Queue{waiting: make(map[uint64]*waiter)} }
 
-// Update takes over the ranks of a service; waiting requests of known ranks stay.
+// Update takes over the ranks of a service. A removed rank stays until its accepted requests have ended.
 func (q *Queue) Update(ranks []patcher.Rank) {
 	old := q.ranks
-	q.ranks = nil
+	q.ranks = make([]*rankQueue, 0, len(ranks))
 	for _, r := range ranks {
 		rq := find(old, r.Name)
 		if rq == nil {
@@ -48,6 +48,11 @@
 		rq.Rank = r
 		q.ranks = append(q.ranks, rq)
 	}
+	for _, r := range old {
+		if find(q.ranks, r.Name) == nil && (len(r.items) > 0 || r.running > 0) {
+			q.ranks = append(q.ranks, r)
+		}
+	}
 	q.running = 0
 	for _, r := range q.ranks {
 		q.running += r.running
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -58,6 +58,7 @@
 	// doubted lists the upstreams that get no work because of their state.
 	doubted []*upstream
 	probes  uint64
+	changes []Change
 }
 
 // Need describes the request that an upstream is picked for.
@@ -115,11 +116,13 @@
 		known.Upstream = u
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
+		p.note(now, known)
 	}
 	for _, u := range p.byName {
 		if byName[u.Name] != u {
 			p.restore(u)
 			p.trust(u)
+			u.gone = true
 		}
 	}
 	p.byName = byName
@@ -190,7 +193,7 @@
 }
 
 func (u *upstream) usable(now time.Time, need Need) bool {
-	if u.leaving() || !u.open(now, need.Idempotent) || u.inFlight >= u.limit(now, need.Urgent) {
+	if u.leaving() || !u.open(now, need) || u.inFlight >= u.limit(now, need.Urgent) {
 		return false
 	}
 	if need.Spare && float64(u.inFlight)+u.othersNow(now)+1 > float64(u.Slots) {
@@ -227,7 +230,9 @@
 // Finish releases the slot of an attempt and learns from it.
 func (p *Pool) Finish(now time.Time, a *Attempt, f Feedback) {
 	a.upstream.inFlight--
-	p.freed = a.upstream
+	if !a.upstream.gone {
+		p.freed = a.upstream
+	}
 	p.Answered(now, a, f)
 	if f.Failure == FailureTruncated {
 		p.failed(now, a.upstream)
@@ -244,12 +249,14 @@
 		u.outlived(now, a)
 	case f.Failure == FailureTruncated || f.Failure == FailureSilent:
 	case f.Failure != FailureNone:
+		u.failedDial = f.Failure == FailureDial
 		p.failed(now, u)
 	default:
 		u.heard(now, a.started)
 		p.succeeded(now, u, a.started)
 		u.answered()
 		u.learn(now, a)
+		u.smooth(now.Sub(a.started))
 		a.rank.observe(now.Sub(a.started))
 	}
 }
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -8,6 +8,8 @@
 const (
 	// slownessWeight is the weight of a new sample in the slowness of an upstream.
 	slownessWeight = 0.125
+	// latencyWeight is the reciprocal weight of a new sample in the smoothed latency.
+	latencyWeight = 16
 	// maxSlowness bounds one sample, so that a single stall is forgotten soon.
 	maxSlowness = 30.0
 	// slownessLife is the time in which knowledge of the slowness falls to 1/e.
@@ -25,6 +27,14 @@
 	u.learnedAt = now
 }
 
+func (u *upstream) smooth(d time.Duration) {
+	if u.latency == 0 {
+		u.latency = d
+		return
+	}
+	u.latency += (d - u.latency) / latencyWeight
+}
+
 // outlived takes an attempt that ended without an answer; it counts only if it was slower than known.
 func (u *upstream) outlived(now time.Time, a *Attempt) {
 	age := now.Sub(a.started)
--- a/internal/balancer/drain.go
+++ b/internal/balancer/drain.go
@@ -15,12 +15,13 @@
 }
 
 // leaving reports whether an upstream must not get new work.
-func (u *upstream) leaving() bool { return u.Draining || u.signalled || u.listed }
+func (u *upstream) leaving() bool { return u.gone || u.Draining || u.signalled || u.listed }
 
 func (p *Pool) signal(now time.Time, u *upstream) {
 	u.signalled = true
 	u.signalledAt = now
 	p.doubt(u)
+	p.note(now, u)
 }
 
 // Listed takes over whether the platform's host list names an upstream as
@@ -35,6 +36,7 @@
 	if !leaving {
 		p.rejoin(now, u)
 	}
+	p.note(now, u)
 }
 
 // rejoin ends a drain; the upstream may be cold and gets its share step by step.
@@ -44,4 +46,5 @@
 	p.restore(u)
 	u.comeBack(now, coldTime)
 	p.trust(u)
+	p.note(now, u)
 }
--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -16,6 +16,8 @@
 	returnTime = time.Second
 	// returnCost is added to the cost factor at the start of a return.
 	returnCost = 2.0
+	// onceOnlyWait is the time after a failure in which an idempotent trial is waited for.
+	onceOnlyWait = 30 * time.Second
 	// timeoutSlowness is the slowness from which a timeout counts as a failure of the
 	// upstream; below it the deadline was too short.
 	timeoutSlowness = 4.0
@@ -28,6 +30,10 @@
 	// retryAt is when an ejected upstream gets a trial.
 	retryAt time.Time
 	ejected bool
+	// failedDial is set if the last failure left no doubt that the request did not run.
+	failedDial bool
+	// provenAt is when a probe last found the upstream healthy.
+	provenAt time.Time
 	// returnFrom and returnTo are the times between which the upstream gets back to its full share.
 	returnFrom, returnTo time.Time
 }
@@ -45,11 +51,12 @@
 	u.failures = min(u.failures+1, maxFailures)
 	u.failedAt = now
 	u.retryAt = now.Add(ejectionBase << u.failures)
-	if !u.ejected && p.ejected < p.maxEjected() {
+	if !u.gone && !u.ejected && p.ejected < p.maxEjected() {
 		u.ejected = true
 		p.ejected++
 		p.doubt(u)
 	}
+	p.note(now, u)
 }
 
 // succeeded ends an ejection, unless the attempt began before the last failure.
@@ -64,6 +71,7 @@
 		p.trust(u)
 		u.comeBack(now, returnTime)
 	}
+	p.note(now, u)
 }
 
 func (p *Pool) restore(u *upstream) {
@@ -73,13 +81,23 @@
 	}
 }
 
-// open reports whether failures leave room for the request. A trial after an
-// ejection is one idempotent request, since it may fail after it ran.
-func (u *upstream) open(now time.Time, idempotent bool) bool {
+// open reports whether failures leave room for the request. After an ejection
+// one request goes on trial.
+func (u *upstream) open(now time.Time, need Need) bool {
 	if !u.ejected {
 		return true
 	}
-	return idempotent && u.inFlight == 0 && !now.Before(u.retryAt)
+	if u.inFlight > 0 || now.Before(u.retryAt) {
+		return false
+	}
+	return need.Idempotent || u.onceOnlyTrial(now)
+}
+
+// onceOnlyTrial reports whether the trial may be a request that must not run
+// twice: its failure may leave its outcome unknown, so that an idempotent one is
+// better as long as one is likely to come.
+func (h *health) onceOnlyTrial(now time.Time) bool {
+	return h.failedDial || h.provenAt.After(h.failedAt) || now.Sub(h.failedAt) > onceOnlyWait
 }
 
 func (h *health) comeBack(now time.Time, length time.Duration) {
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -14,7 +14,7 @@
 
 // doubt notes an upstream that gets no work, so that only a probe can tell of it.
 func (p *Pool) doubt(u *upstream) {
-	if !u.doubted {
+	if !u.doubted && !u.gone {
 		u.doubted = true
 		p.doubted = append(p.doubted, u)
 	}
@@ -72,6 +72,7 @@
 	if !ok {
 		return
 	}
+	u.provenAt = now
 	if u.signalled && u.probedAt.After(u.signalledAt) {
 		p.rejoin(now, u)
 	}
--- /dev/null
+++ b/internal/balancer/status.go
@@ -0,0 +1,92 @@
+package balancer
+
+import "time"
+
+// State is the stage of an upstream as one entry sees it.
+type State string
+
+// The states of an upstream.
+const (
+	Serving   State = "Serving"
+	Returning State = "Returning"
+	Failing   State = "Failing"
+	Ejected   State = "Ejected"
+	Leaving   State = "Leaving"
+)
+
+// Status describes an upstream for the status page.
+type Status struct {
+	Name   string
+	State  State
+	Reason string
+	// InFlight is the number of this entry's open requests.
+	InFlight int
+	// Latency is the smoothed latency over all ranks, 0 if not known.
+	Latency time.Duration
+}
+
+// Change is a change of an upstream's state.
+type Change struct {
+	Name   string
+	State  State
+	Reason string
+}
+
+// auditedFailures is the number of failures in a row from which an ejection is a
+// change of state; shorter ones are over within a fraction of a second.
+const auditedFailures = 4
+
+// Status returns all upstreams in the order of their names.
+func (p *Pool) Status(now time.Time) []Status {
+	out := make([]Status, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		state, reason := u.state(now)
+		out = append(out, Status{Name: u.Name, State: state, Reason: reason, InFlight: u.inFlight, Latency: u.latency})
+	}
+	return out
+}
+
+func (u *upstream) state(now time.Time) (State, string) {
+	switch {
+	case u.Draining:
+		return Leaving, "configuration"
+	case u.signalled:
+		return Leaving, "own signal"
+	case u.listed:
+		return Leaving, "host list"
+	case u.ejected:
+		return Ejected, "failures in a row"
+	case u.failures > 0:
+		return Failing, "failed last"
+	case u.away(now) > 0:
+		return Returning, "was away"
+	default:
+		return Serving, ""
+	}
+}
+
+// note records a change of state if it differs from the last one recorded.
+func (p *Pool) note(now time.Time, u *upstream) {
+	state, reason := u.state(now)
+	switch state {
+	case Leaving:
+	case Ejected:
+		if u.failures < auditedFailures {
+			return
+		}
+	default:
+		state, reason = Serving, ""
+	}
+	if u.noted == state || u.noted == "" && state == Serving {
+		return
+	}
+	u.noted = state
+	p.changes = append(p.changes, Change{Name: u.Name, State: state, Reason: reason})
+}
+
+// Changes returns the changes of state since the last call.
+func (p *Pool) Changes() []Change {
+	out := p.changes
+	p.changes = nil
+	return out
+}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -30,11 +30,17 @@
 type upstream struct {
 	patcher.Upstream
 	inFlight int
+	// gone is set once the configuration no longer holds the upstream; attempts may still be open.
+	gone bool
 	// oldest and newest are the ends of the list of open attempts in the order of their start.
 	oldest, newest *Attempt
 	// slowness is the latency as a multiple of the mean over all upstreams.
 	slowness  float64
 	learnedAt time.Time
+	// latency is the smoothed latency over all ranks.
+	latency time.Duration
+	// noted is the last state that was given out as a change.
+	noted State
 	health
 	drain
 	silence
--- a/internal/reducer/probe.go
+++ b/internal/reducer/probe.go
@@ -90,5 +90,6 @@
 		return
 	}
 	s.pool.Probed(n.now, ev.Upstream, ev.OK, ev.Draining, ev.Report)
+	n.auditUpstreams(s)
 	n.pump(s)
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -170,6 +170,7 @@
 	r.service.queue.Ended(r.rank.Name)
 	r.service.pool.Finish(n.now, a.slot, f)
 	n.closeIdle(r.service, a, false)
+	n.auditUpstreams(r.service)
 }
 
 func (n *Node) upstreamAnswered(ev UpstreamAnswered) {
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"github.com/azuretrestle/azuretrestle/internal/admitter"
+	"github.com/azuretrestle/azuretrestle/internal/auditor"
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
@@ -44,6 +45,7 @@
 	s.config = *c
 	s.removed = false
 	s.pool.Update(s.node.now, c)
+	s.node.auditUpstreams(s)
 	s.queue.Update(c.Ranks)
 }
 
@@ -52,9 +54,29 @@
 	for _, h := range ev.Hosts {
 		if s, ok := n.services[h.Role]; ok {
 			s.pool.Listed(n.now, h.Name, h.Leaving)
+			n.auditUpstreams(s)
 			n.pump(s)
 		}
 	}
 }
 
+// auditUpstreams reports the changes of the upstreams' states.
+func (n *Node) auditUpstreams(s *service) {
+	for _, c := range s.pool.Changes() {
+		n.emit(Audit{auditor.Entry{
+			At: n.now, Actor: n.Name, Action: "Upstream" + string(c.State),
+			Subject: s.config.Name + "/" + c.Name, Cause: c.Reason, Version: n.config.log.Config().Version,
+		}})
+	}
+}
+
+// Upstreams returns the upstreams of a service as this entry sees them, nil if the service is unknown.
+func (n *Node) Upstreams(service string) []balancer.Status {
+	s, ok := n.services[service]
+	if !ok {
+		return nil
+	}
+	return s.pool.Status(n.now)
+}
+
 func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
