--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -80,6 +80,7 @@
 		{"status", "print the state of an entry", status},
 		{"entries", "print which entries a caller should use", entries},
 		{"load", "offer a load to a running system", load},
+		{"demo", "run a whole system with faults on this host", runDemo},
 		{"fake", "run a stand-in: log, list or upstream", fake},
 		{"version", "print the version", version},
 	}
--- a/internal/commander/commander_test.go
+++ b/internal/commander/commander_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -23,20 +22,12 @@
 // ports is the number of free ports that a script gets as $P1, $P2 and so on.
 const ports = 9
 
-func freePorts(env *testscript.Env) error {
-	var held []net.Listener
-	for i := range ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return err
-		}
-		held = append(held, l)
-		env.Setenv("P"+strconv.Itoa(i+1), strconv.Itoa(l.Addr().(*net.TCPAddr).Port))
-	}
-	for _, l := range held {
-		_ = l.Close()
+func setPorts(env *testscript.Env) error {
+	free, err := freePorts(ports)
+	for i, a := range free {
+		env.Setenv("P"+strconv.Itoa(i+1), strconv.Itoa(int(a.Port())))
 	}
-	return nil
+	return err
 }
 
 // waitURL waits until a URL answers at all.
@@ -81,7 +72,7 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata/script",
-		Setup: freePorts,
+		Setup: setPorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"waiturl":  waitURL,
 			"get":      get,
--- /dev/null
+++ b/internal/commander/demo_system.go
@@ -0,0 +1,256 @@
+package commander
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/faker"
+	"github.com/azuretrestle/azuretrestle/internal/parser"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// demoSystem is a whole system in one process, on loopback.
+type demoSystem struct {
+	deployment deployment
+	log        *faker.Log
+	servers    []*server
+	upstreams  []*demoUpstream
+
+	mu      sync.Mutex
+	entries []*demoEntry
+}
+
+// demoEntry is one entry of the demo with what was seen of it.
+type demoEntry struct {
+	*entry
+	stopped bool
+	version uint64
+}
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// serve starts a handler on a free port.
+func (s *demoSystem) serve(h http.Handler) (*server, netip.AddrPort, error) {
+	srv, err := newServer(loopback, h, nil, zap.NewNop())
+	if err != nil {
+		return nil, netip.AddrPort{}, err
+	}
+	srv.start()
+	s.servers = append(s.servers, srv)
+	return srv, netip.MustParseAddrPort(srv.listener.Addr().String()), nil
+}
+
+// freePorts returns free addresses; they are all held until the last is found, so that none comes twice.
+func freePorts(n int) ([]netip.AddrPort, error) {
+	var list []netip.AddrPort
+	for range n {
+		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback.String())
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = l.Close() }()
+		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+	}
+	return list, nil
+}
+
+// startDemo starts the stand-ins and the entries and brings the first configuration into force.
+func startDemo(ctx context.Context, d deployment, entries int) (*demoSystem, error) {
+	s := &demoSystem{deployment: d, log: faker.NewLog()}
+	err := s.start(entries)
+	if err == nil {
+		err = s.configure(ctx)
+	}
+	if err != nil {
+		s.close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *demoSystem) start(entries int) error {
+	_, log, err := s.serve(s.log.Handler())
+	if err != nil {
+		return err
+	}
+	list := new(faker.List)
+	_, hosts, err := s.serve(list.Handler())
+	if err != nil {
+		return err
+	}
+	if err := s.startUpstreams(); err != nil {
+		return err
+	}
+	return s.startEntries(entries, log, hosts, list)
+}
+
+func (s *demoSystem) startUpstreams() error {
+	p := s.deployment.patch(func(string, string) netip.AddrPort { return netip.AddrPort{} })
+	for _, op := range p.Operations {
+		svc := op.(patcher.PutService).Service
+		for _, up := range svc.Upstreams {
+			u := newDemoUpstream(s.deployment, svc.Name, up.Name, up.Slots)
+			srv, _, err := s.serve(u)
+			if err != nil {
+				return err
+			}
+			u.server = srv
+			s.upstreams = append(s.upstreams, u)
+		}
+	}
+	return nil
+}
+
+const portsPerEntry = 3
+
+func (s *demoSystem) startEntries(n int, log, hosts netip.AddrPort, list *faker.List) error {
+	ports, err := freePorts(n * portsPerEntry)
+	if err != nil {
+		return err
+	}
+	var shown []faker.Host
+	var all []*parser.Settings
+	for i := range n {
+		set, err := s.settings(i, ports, log, hosts)
+		if err != nil {
+			return err
+		}
+		all = append(all, set)
+		shown = append(shown, faker.Host{Name: set.Name, Address: set.Peers, DataCentre: set.DataCentre, Role: "Entry"})
+	}
+	list.Set(shown)
+	for _, set := range all {
+		en, err := newEntry(set, zap.NewNop())
+		if err != nil {
+			return err
+		}
+		s.entries = append(s.entries, &demoEntry{entry: en})
+	}
+	return nil
+}
+
+// settings makes a settings file of an entry and reads it, as serve would.
+func (s *demoSystem) settings(i int, ports []netip.AddrPort, log, hosts netip.AddrPort) (*parser.Settings, error) {
+	var peers []string
+	for j := 1; j < len(ports); j += portsPerEntry {
+		peers = append(peers, ports[j].String())
+	}
+	own := ports[i*portsPerEntry:]
+	text := fmt.Sprintf("[Entry]\nName = e%d\nDataCentre = %s\n[Listeners]\nCallers = %s\nPeers = %s\nAdministration = %s\n"+
+		"[Platform]\nLog = %s\nHostList = %s\n[Peers]\nStart = %s\n",
+		i+1, s.deployment.centres[i%len(s.deployment.centres)], own[0], own[1], own[2], log, hosts, strings.Join(peers, ", "))
+	return parser.Parse("demo", []byte(text))
+}
+
+// forcePatience is the time within which an accepted version has to be in force everywhere.
+const forcePatience = 6 * time.Second
+
+// configure submits the first patch and waits until every entry has it.
+func (s *demoSystem) configure(ctx context.Context) error {
+	p := s.deployment.patch(func(service, name string) netip.AddrPort {
+		for _, u := range s.upstreams {
+			if u.service == service && u.Name == name {
+				return netip.MustParseAddrPort(u.server.listener.Addr().String())
+			}
+		}
+		return netip.AddrPort{}
+	})
+	ctx, cancel := context.WithTimeout(ctx, 5*forcePatience)
+	defer cancel()
+	a, err := s.submit(ctx, p)
+	if err != nil {
+		return err
+	}
+	if a.Code != classifier.OK {
+		return errors.Errorf("first patch refused: %s %s", a.Code, a.Detail)
+	}
+	return s.inForce(ctx, a.Version)
+}
+
+// submit gives a patch to the first entry; the caller sets the base.
+func (s *demoSystem) submit(ctx context.Context, p patcher.Patch) (reducer.AnswerPatch, error) {
+	p.ID = uuid.Must(uuid.NewV7()).String()
+	p.Actor = "demo"
+	return s.entries[0].driver.Submit(ctx, p)
+}
+
+// inForce waits until every running entry has a version; it fails when the context ends.
+func (s *demoSystem) inForce(ctx context.Context, version uint64) error {
+	for {
+		lagging := 0
+		for _, en := range s.running() {
+			if en.configVersion() < version {
+				lagging++
+			}
+		}
+		if lagging == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("%d entries lack version %d", lagging, version)
+		case <-time.After(watchInterval):
+		}
+	}
+}
+
+func (en *demoEntry) configVersion() (v uint64) {
+	en.driver.View(func(n *reducer.Node) { v = n.Config().Version })
+	return v
+}
+
+func (s *demoSystem) running() []*demoEntry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []*demoEntry
+	for _, en := range s.entries {
+		if !en.stopped {
+			list = append(list, en)
+		}
+	}
+	return list
+}
+
+func (s *demoSystem) markStopped(en *demoEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	en.stopped = true
+}
+
+func (s *demoSystem) close() {
+	for _, en := range s.running() {
+		en.abandon()
+	}
+	for _, srv := range s.servers {
+		srv.close()
+	}
+}
+
+func (s *demoSystem) callers() []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, en := range s.entries {
+		list = append(list, en.settings.Callers)
+	}
+	return list
+}
+
+// runs sums how often the work with a key ran at all upstreams.
+func (s *demoSystem) runs(key string) (int, error) {
+	n := 0
+	for _, u := range s.upstreams {
+		n += u.Runs(key)
+	}
+	return n, nil
+}
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -203,3 +203,11 @@
 	_ = s.listener.Close()
 	_ = s.http.Close()
 }
+
+// abandon ends an entry at once, as if its process were killed.
+func (en *entry) abandon() {
+	en.callers.close()
+	en.admin.close()
+	en.driver.Close()
+	en.platform.Close()
+}
