Run entries as peers: membership, planned stop, audit and status on real sockets

Cause: serve started each entry alone, so a patch stayed pending, a stop closed listeners at once, and the administration showed neither members nor upstreams. Change: serve hands the peer listener, certificates, start peers and limits to the driver, which owns the callers' listener; /status, /audit, /healthz, /readyz and the driver's metrics are mounted on the administration listener. Readiness needs fresh evidence.

--- a/internal/administrator/administrator.go
+++ b/internal/administrator/administrator.go
@@ -8,7 +8,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
-	"github.com/azuretrestle/azuretrestle/internal/auditor"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
@@ -21,12 +20,6 @@
 	View(f func(*reducer.Node))
 }
 
-// Trail is what an entry offers to have its audit trail read.
-type Trail interface {
-	// Trail returns the newest lines of the trail that the entry holds, oldest first.
-	Trail(ctx context.Context) ([]auditor.Entry, error)
-}
-
 // Operator is the holder of a token.
 type Operator struct {
 	Name  string
@@ -42,13 +35,15 @@
 // Administrator is the HTTP handler of the administration.
 type Administrator struct {
 	node      Node
-	trail     Trail
-	operators []holder
-	logger    *zap.Logger
-	body      int64
-	patience  time.Duration
-	metrics   *metrics
-	mux       *http.ServeMux
+	gatherers []prometheus.Gatherer
+	// healthHandler answers /healthz and /readyz; nil if they are not offered.
+	healthHandler http.Handler
+	operators     []holder
+	logger        *zap.Logger
+	body          int64
+	patience      time.Duration
+	metrics       *metrics
+	mux           *http.ServeMux
 }
 
 // Option changes an administrator before it serves.
@@ -74,14 +69,14 @@
 	}
 }
 
-// WithTrail serves the audit trail of t.
-func WithTrail(t Trail) Option { return func(a *Administrator) { a.trail = t } }
-
-// WithCollectors adds metrics to those of the administrator itself.
-func WithCollectors(list ...prometheus.Collector) Option {
-	return func(a *Administrator) { a.metrics.registry.MustRegister(list...) }
+// WithGatherer adds metrics to those of the administration itself.
+func WithGatherer(g prometheus.Gatherer) Option {
+	return func(a *Administrator) { a.gatherers = append(a.gatherers, g) }
 }
 
+// WithHealth serves /healthz and /readyz by h.
+func WithHealth(h http.Handler) Option { return func(a *Administrator) { a.healthHandler = h } }
+
 // New returns the administration of a node.
 func New(n Node, opts ...Option) *Administrator {
 	a := &Administrator{
@@ -89,12 +84,13 @@
 		logger:   zap.NewNop(),
 		body:     defaultPatchBody,
 		patience: defaultPatchPatience,
-		metrics:  newMetrics(n),
+		metrics:  newMetrics(),
 		mux:      http.NewServeMux(),
 	}
 	for _, opt := range opts {
 		opt(a)
 	}
+	a.metrics.expose(a.gatherers)
 	a.route()
 	return a
 }
--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -130,8 +130,8 @@
 		{"POST", "/patches", strings.Repeat(" ", 1025), fakeNode{}, classifier.BodyTooLarge},
 		{"GET", "/config?Version=3", "", fakeNode{}, classifier.StaleVersion},
 		{"GET", "/config?Version=x", "", fakeNode{}, classifier.MalformedRequest},
-		{"GET", "/audit", "", fakeNode{}, classifier.NotOffered},
-		{"GET", "/health", "", fakeNode{}, classifier.NotConfigured},
+		{"GET", "/healthz", "", fakeNode{}, classifier.NotOffered},
+		{"GET", "/readyz", "", fakeNode{}, classifier.NotOffered},
 		{"DELETE", "/config", "", fakeNode{}, classifier.MalformedRequest},
 		{"GET", "/nothing", "", fakeNode{}, classifier.MalformedRequest},
 	} {
--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -40,17 +40,21 @@
 		},
 		{
 			Method: http.MethodGet, Path: "/audit", Text: "the newest lines of the audit trail, oldest first",
-			Codes: []classifier.Code{classifier.Unauthorized, classifier.NotOffered, classifier.LogUnavailable},
+			Codes: []classifier.Code{classifier.Unauthorized},
 			serve: (*Administrator).audit,
 		},
 		{
-			Method: http.MethodGet, Path: "/status", Text: "name, incarnation, addresses and version of this entry",
+			Method: http.MethodGet, Path: "/status", Text: "members, evidence, stop phase, and upstreams with state and reason, as this entry sees them",
 			Codes: []classifier.Code{classifier.Unauthorized},
 			serve: (*Administrator).status,
 		},
 		{
-			Method: http.MethodGet, Path: "/health", Open: true, Text: "whether the entry has a configuration",
-			Codes: []classifier.Code{classifier.NotConfigured},
+			Method: http.MethodGet, Path: "/healthz", Open: true, Text: "whether the process works; 503 if not",
+			serve: (*Administrator).health,
+		},
+		{
+			Method: http.MethodGet, Path: "/readyz", Open: true,
+			Text:  "whether the entry takes new work; 503 if it stops, has no configuration or can't confirm that it is current",
 			serve: (*Administrator).health,
 		},
 		{
--- a/internal/administrator/metrics.go
+++ b/internal/administrator/metrics.go
@@ -4,13 +4,10 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
-
-	"github.com/azuretrestle/azuretrestle/internal/reducer"
 )
 
-// metrics are those of the administration itself; WithCollectors adds others.
+// metrics are those of the administration itself; WithGatherer adds others.
 type metrics struct {
 	registry *prometheus.Registry
 	handler  http.Handler
@@ -18,7 +15,7 @@
 	refused  prometheus.Counter
 }
 
-func newMetrics(n Node) *metrics {
+func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
 		patches: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -28,15 +25,12 @@
 			Name: "azuretrestle_administration_refused_total", Help: "Administration calls without a valid token.",
 		}),
 	}
-	version := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "azuretrestle_config_version", Help: "Configuration version in force at this entry.",
-	}, func() float64 {
-		var v uint64
-		n.View(func(n *reducer.Node) { v = n.Config().Version })
-		return float64(v)
-	})
-	m.registry.MustRegister(m.patches, m.refused, version)
-	m.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
-	m.handler = promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+	m.registry.MustRegister(m.patches, m.refused)
 	return m
 }
+
+// expose sets what /metrics shows: the administration's own metrics and those of other parts.
+func (m *metrics) expose(others []prometheus.Gatherer) {
+	all := append(prometheus.Gatherers{m.registry}, others...)
+	m.handler = promhttp.HandlerFor(all, promhttp.HandlerOpts{})
+}
--- a/internal/administrator/serve.go
+++ b/internal/administrator/serve.go
@@ -6,39 +6,18 @@
 	"io"
 	"mime"
 	"net/http"
-	"net/netip"
 	"strconv"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
+	"github.com/azuretrestle/azuretrestle/internal/auditor"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
-// Status is what an entry tells about itself.
-type Status struct {
-	Name          string
-	Incarnation   uint64
-	DataCentre    string
-	CallerAddress netip.AddrPort
-	PeerAddress   netip.AddrPort
-	// Version is the version of the configuration in force.
-	Version  uint64
-	Services []ServiceStatus
-}
-
-// ServiceStatus is the size of one service.
-type ServiceStatus struct {
-	Name      string
-	Ranks     int
-	Upstreams int
-	// Draining is the number of upstreams that the configuration takes out of use.
-	Draining int
-}
-
 func (a *Administrator) current() *patcher.Config {
 	var c *patcher.Config
 	a.node.View(func(n *reducer.Node) { c = n.Config() })
@@ -118,48 +97,16 @@
 	return p, classifier.OK, ""
 }
 
-func (a *Administrator) audit(w http.ResponseWriter, r *http.Request, _ string) {
-	if a.trail == nil {
-		writeReply(w, Reply{Code: classifier.NotOffered, Version: a.current().Version})
-		return
-	}
-	lines, err := a.trail.Trail(r.Context())
-	if err != nil {
-		writeReply(w, Reply{Code: classifier.LogUnavailable, Version: a.current().Version, Detail: err.Error()})
-		return
-	}
+func (a *Administrator) audit(w http.ResponseWriter, _ *http.Request, _ string) {
+	var lines []auditor.Entry
+	a.node.View(func(n *reducer.Node) { lines = n.Trail() })
 	writeData(w, lines)
 }
 
-func (a *Administrator) status(w http.ResponseWriter, _ *http.Request, _ string) {
-	var s Status
-	a.node.View(func(n *reducer.Node) {
-		s = Status{
-			Name: n.Name, Incarnation: n.Incarnation, DataCentre: n.DataCentre,
-			CallerAddress: n.CallerAddress, PeerAddress: n.PeerAddress, Version: n.Config().Version,
-		}
-	})
-	for _, svc := range a.current().Services {
-		s.Services = append(s.Services, serviceStatus(svc))
-	}
-	writeData(w, s)
-}
-
-func serviceStatus(s patcher.Service) ServiceStatus {
-	out := ServiceStatus{Name: s.Name, Ranks: len(s.Ranks), Upstreams: len(s.Upstreams)}
-	for _, u := range s.Upstreams {
-		if u.Draining {
-			out.Draining++
-		}
-	}
-	return out
-}
-
-func (a *Administrator) health(w http.ResponseWriter, _ *http.Request, _ string) {
-	version := a.current().Version
-	code := classifier.OK
-	if version == 0 {
-		code = classifier.NotConfigured
+func (a *Administrator) health(w http.ResponseWriter, r *http.Request, _ string) {
+	if a.healthHandler == nil {
+		writeReply(w, Reply{Code: classifier.NotOffered})
+		return
 	}
-	writeReply(w, Reply{Code: code, Version: version})
+	a.healthHandler.ServeHTTP(w, r)
 }
--- a/internal/commander/demo_faults.go
+++ b/internal/commander/demo_faults.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/faker"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
@@ -93,14 +94,15 @@
 
 // patchTwice submits two patches against one version, of which the second has to be refused.
 func (d *demo) patchTwice(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, 2*forcePatience)
+	// The verdict is waited for even if the load ends before.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*forcePatience)
 	defer cancel()
 	base := d.system.entries[0].configVersion()
 	svc := d.system.deployment.services[0]
 	edit := patcher.EditService{Name: svc.name, MeasuringBudget: svc.budget / 2, MaxEntries: maxEntriesPerService}
 	p := patcher.Patch{Base: base, Operations: []patcher.Operation{edit}}
 	begin := time.Now()
-	a, err := d.system.submit(ctx, p)
+	a, err := d.submitWhenUp(ctx, p)
 	if err != nil || a.Code != classifier.OK {
 		d.note(time.Since(d.begin), "the patch was not accepted: "+a.Code.String()+" "+a.Detail)
 		return
@@ -115,3 +117,21 @@
 	}
 	d.note(time.Since(d.begin), "the stale patch was answered "+b.Code.String())
 }
+
+// submitInterval is the wait before a patch is submitted again that found the log down.
+const submitInterval = 200 * time.Millisecond
+
+// submitWhenUp submits a patch as often as it is refused because the log is not back yet.
+func (d *demo) submitWhenUp(ctx context.Context, p patcher.Patch) (reducer.AnswerPatch, error) {
+	for {
+		a, err := d.system.submit(ctx, p)
+		if err != nil || a.Code != classifier.LogUnavailable {
+			return a, err
+		}
+		select {
+		case <-ctx.Done():
+			return a, ctx.Err()
+		case <-time.After(submitInterval):
+		}
+	}
+}
--- a/internal/commander/demo_test.go
+++ b/internal/commander/demo_test.go
@@ -48,11 +48,13 @@
 	is.Equal(len(w.list()), 0)
 	w.version(en, 1)
 	is.Equal(len(w.list()), 1)
-	up := s.upstreams[0]
+	// The entries probe the real upstreams, so the excess is counted on one of its own.
+	up := newDemoUpstream(s.deployment, s.upstreams[0].service, "idle", 1)
 	for range 41 {
 		up.measured = append(up.measured, time.Now())
 	}
-	is.Equal(w.measured(s)[0].Busiest, 41)
+	alone := &demoSystem{deployment: s.deployment, upstreams: []*demoUpstream{up}}
+	is.Equal(w.measured(alone)[0].Busiest, 41)
 	is.Equal(len(w.list()), 2)
 }
 
--- a/internal/commander/remote.go
+++ b/internal/commander/remote.go
@@ -131,11 +131,21 @@
 }
 
 func (e *environment) printStatus(s administrator.Status) error {
-	e.printf("entry %s in %s, callers at %s, configuration version %d\n", s.Name, s.DataCentre, s.CallerAddress, s.Version)
+	e.printf("entry %s in %s, callers at %s, state %s\n", s.Name, s.DataCentre, s.CallerAddress, s.State)
+	e.printf("configuration version %d, newest heard of %d, evidence until %s, log reachable: %t\n",
+		s.Version, s.Newest, s.EvidenceExpiresAt.Format(time.RFC3339Nano), s.LogReachable)
+	e.printf("audit records waiting for the log: %d, lost: %d\n\n", s.AuditBuffered, s.AuditLost)
 	w := tabwriter.NewWriter(e.stdout, 0, 0, 2, ' ', 0)
-	row(w, "service", "ranks", "upstreams", "draining")
+	row(w, "entry", "data centre", "callers", "state", "suspected", "version")
+	for _, m := range s.Members {
+		row(w, m.Name, m.DataCentre, m.CallerAddress, m.State, m.Suspected, m.Version)
+	}
+	row(w, "")
+	row(w, "service", "upstream", "state", "reason", "in flight", "latency")
 	for _, svc := range s.Services {
-		row(w, svc.Name, svc.Ranks, svc.Upstreams, svc.Draining)
+		for _, u := range svc.Upstreams {
+			row(w, svc.Name, u.Name, u.State, u.Reason, u.InFlight, u.Latency)
+		}
 	}
 	return w.Flush()
 }
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -15,11 +15,14 @@
 
 	"github.com/azuretrestle/azuretrestle/internal/administrator"
 	"github.com/azuretrestle/azuretrestle/internal/driver"
+	"github.com/azuretrestle/azuretrestle/internal/messenger"
 	"github.com/azuretrestle/azuretrestle/internal/parser"
 	"github.com/azuretrestle/azuretrestle/internal/recorder"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 )
 
+var errDriverEnded = errors.New("the driver ended by itself")
+
 // errSecondSignal ends the process at once.
 var errSecondSignal = errors.New("stopped by a second signal, requests in progress were abandoned")
 
@@ -51,7 +54,6 @@
 	logger   *zap.Logger
 	platform *recorder.Client
 	driver   *driver.Driver
-	callers  *server
 	admin    *server
 }
 
@@ -65,39 +67,61 @@
 // newEntry opens all listeners before it starts the node, so that a taken
 // address is seen before other entries hear of this one.
 func newEntry(s *parser.Settings, l *zap.Logger) (*entry, error) {
-	en := &entry{settings: s, logger: l, platform: recorder.NewClient(s.Log, s.HostList)}
-	en.driver = driver.New(reducer.Options{
-		Name: s.Name, Incarnation: newIncarnation(time.Now()), PeerAddress: s.Peers,
-		CallerAddress: s.Callers, DataCentre: s.DataCentre, Seed: rand.Uint64(),
-	}, en.platform, en.platform, driver.WithLogger(l))
-	if err := en.listen(); err != nil {
+	en := &entry{settings: s, logger: l}
+	callers, err := listen(s.Callers)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen(s.Peers)
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	if err := en.prepare(peers); err != nil {
+		_ = callers.Close()
+		_ = peers.Close()
 		return nil, err
 	}
 	en.driver.Start()
-	en.callers.start()
+	en.driver.Serve(callers)
 	en.admin.start()
-	l.Info("Entry started", zap.String("Name", s.Name), zap.Stringer("Callers", s.Callers), zap.Stringer("Administration", s.Administration))
+	l.Info("entry started", zap.String("name", s.Name), zap.Stringer("callers", s.Callers), zap.Stringer("administration", s.Administration))
 	return en, nil
 }
 
-func (en *entry) listen() error {
+// prepare makes the driver and the administration listener.
+func (en *entry) prepare(peers net.Listener) error {
 	s := en.settings
-	config, err := en.adminTLS()
+	certificates, err := en.peerTLS()
 	if err != nil {
 		return err
 	}
-	en.callers, err = newServer(s.Callers, en.driver.Handler(), nil, en.logger)
+	config, err := en.adminTLS()
 	if err != nil {
 		return err
 	}
-	en.callers.limit(s.Limits)
+	en.platform = recorder.NewClient(s.Log, s.HostList)
+	en.driver = driver.New(reducer.Options{
+		Name: s.Name, Incarnation: newIncarnation(time.Now()), PeerAddress: s.Peers, Peers: s.Start,
+		CallerAddress: s.Callers, DataCentre: s.DataCentre, Seed: rand.Uint64(), LogRetention: s.LogRetention,
+	}, en.platform, en.platform,
+		driver.WithLogger(en.logger),
+		driver.WithPeers(peers, certificates),
+		driver.WithLimits(driver.Limits{Header: s.Limits.Header, HeaderPatience: s.Limits.HeaderPatience, Idle: s.Limits.Idle}),
+	)
 	en.admin, err = newServer(s.Administration, en.administration(), config, en.logger)
-	if err != nil {
-		en.callers.close()
-	}
 	return err
 }
 
+// peerTLS returns nil if peers talk over plain TCP.
+func (en *entry) peerTLS() (*messenger.Certificates, error) {
+	t := en.settings.PeerTLS
+	if !t.Enabled() {
+		return nil, nil
+	}
+	return messenger.LoadCertificates(messenger.Files{Certificate: t.Certificate, Key: t.Key, Authority: t.Authority}, en.logger)
+}
+
 func (en *entry) adminTLS() (*tls.Config, error) {
 	t := en.settings.AdminTLS
 	if !t.Enabled() {
@@ -118,6 +142,8 @@
 	return administrator.New(en.driver,
 		administrator.WithOperators(operators),
 		administrator.WithLogger(en.logger),
+		administrator.WithGatherer(en.driver.Gatherer()),
+		administrator.WithHealth(en.driver.HealthHandler()),
 		administrator.WithLimits(en.settings.Limits.PatchBody, en.settings.Limits.PatchPatience),
 	)
 }
@@ -126,10 +152,10 @@
 func (en *entry) run(signals <-chan os.Signal) error {
 	select {
 	case sig := <-signals:
-		en.logger.Info("Planned stop began", zap.Stringer("Signal", sig))
+		en.logger.Info("planned stop began", zap.Stringer("signal", sig))
 		return en.stop(signals)
-	case err := <-en.callers.failed:
-		return err
+	case <-en.driver.Done():
+		return errDriverEnded
 	case err := <-en.admin.failed:
 		return err
 	}
@@ -147,22 +173,35 @@
 		return errSecondSignal
 	case err := <-drained:
 		if err == nil {
-			en.logger.Info("Entry stopped")
+			en.logger.Info("entry stopped")
 		}
 		return err
 	}
 }
 
+// drain begins a planned stop and waits for its end.
 func (en *entry) drain(ctx context.Context) error {
-	err := en.callers.http.Shutdown(ctx)
-	if err != nil {
-		return errors.Wrap(err, "requests were still in progress at the end of StopPatience")
+	en.driver.Stop()
+	select {
+	case <-en.driver.Done():
+	case <-ctx.Done():
+		return errors.New("requests were still in progress at the end of StopPatience")
 	}
-	en.driver.Close()
 	en.platform.Close()
 	return en.admin.http.Shutdown(ctx)
 }
 
+// abandon ends an entry at once, as if its process were killed.
+func (en *entry) abandon() {
+	en.admin.close()
+	en.driver.Close()
+	en.platform.Close()
+}
+
+func listen(a netip.AddrPort) (net.Listener, error) {
+	return (&net.ListenConfig{}).Listen(context.Background(), "tcp", a.String())
+}
+
 // server is one HTTP listener.
 type server struct {
 	http     *http.Server
@@ -173,7 +212,7 @@
 const headerPatience = 5 * time.Second
 
 func newServer(a netip.AddrPort, h http.Handler, t *tls.Config, l *zap.Logger) (*server, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a.String())
+	listener, err := listen(a)
 	if err != nil {
 		return nil, err
 	}
@@ -185,12 +224,6 @@
 	return s, nil
 }
 
-func (s *server) limit(l parser.Limits) {
-	s.http.MaxHeaderBytes = l.Header
-	s.http.ReadHeaderTimeout = l.HeaderPatience
-	s.http.IdleTimeout = l.Idle
-}
-
 func (s *server) start() {
 	go func() {
 		if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -203,11 +236,3 @@
 	_ = s.listener.Close()
 	_ = s.http.Close()
 }
-
-// abandon ends an entry at once, as if its process were killed.
-func (en *entry) abandon() {
-	en.callers.close()
-	en.admin.close()
-	en.driver.Close()
-	en.platform.Close()
-}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -22,6 +22,7 @@
 // Driver feeds a node with events and carries out its effects.
 type Driver struct {
 	logger  *zap.Logger
+	limits  Limits
 	log     recorder.Log
 	lister  recorder.Lister
 	metrics *metrics
@@ -74,6 +75,7 @@
 func New(o reducer.Options, log recorder.Log, lister recorder.Lister, opts ...Option) *Driver {
 	d := &Driver{
 		logger:   zap.NewNop(),
+		limits:   defaultLimits,
 		log:      log,
 		lister:   lister,
 		memory:   memory{limit: maxMemory},
--- a/internal/driver/life.go
+++ b/internal/driver/life.go
@@ -12,21 +12,32 @@
 )
 
 const (
-	headerPatience = 5 * time.Second
-	// callerIdle closes a caller's connection without a request.
-	callerIdle       = 2 * time.Minute
-	maxCallerHeaders = 16 << 10
 	// drainPatience bounds the wait for callers that read their answers slowly, after the node has finished.
 	drainPatience = 30 * time.Second
 )
 
+// Limits bounds what one caller's connection can take from an entry.
+type Limits struct {
+	// Header is the largest header of a request in bytes.
+	Header int
+	// HeaderPatience is the time a caller has to send its header.
+	HeaderPatience time.Duration
+	// Idle is how long a connection may stay unused.
+	Idle time.Duration
+}
+
+var defaultLimits = Limits{Header: 16 << 10, HeaderPatience: 5 * time.Second, Idle: 2 * time.Minute}
+
+// WithLimits bounds callers' connections.
+func WithLimits(l Limits) Option { return func(d *Driver) { d.limits = l } }
+
 // Serve serves callers on the listener, which it owns from then on; it returns at once.
 func (d *Driver) Serve(lis net.Listener) {
 	server := &http.Server{
 		Handler:           d.Handler(),
-		ReadHeaderTimeout: headerPatience,
-		IdleTimeout:       callerIdle,
-		MaxHeaderBytes:    maxCallerHeaders,
+		ReadHeaderTimeout: d.limits.HeaderPatience,
+		IdleTimeout:       d.limits.Idle,
+		MaxHeaderBytes:    d.limits.Header,
 		ErrorLog:          zap.NewStdLog(d.logger),
 	}
 	d.mu.Lock()
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -7,7 +7,6 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
 	"github.com/azuretrestle/azuretrestle/internal/messenger"
@@ -110,20 +109,29 @@
 	return d.node.Config().Version
 }
 
-// AdminHandler returns /metrics, /healthz and /readyz, for the administration listener.
-func (d *Driver) AdminHandler() http.Handler {
+// Gatherer returns the metrics of the driver and its node.
+func (d *Driver) Gatherer() prometheus.Gatherer { return d.metrics.registry }
+
+// HealthHandler returns /healthz and /readyz, for the administration listener.
+func (d *Driver) HealthHandler() http.Handler {
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(d.metrics.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		writeState(w, d.ctx.Err() == nil, "driver has ended")
 	})
 	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
-		ready := d.ctx.Err() == nil && !d.stopping.Load() && d.version() > 0
-		writeState(w, ready, "stopping or without a configuration")
+		ready := d.ctx.Err() == nil && !d.stopping.Load() && d.fresh()
+		writeState(w, ready, "stopping, without a configuration, or without evidence that it is current")
 	})
 	return mux
 }
 
+func (d *Driver) fresh() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e := d.node.Evidence()
+	return e.Version > 0 && time.Now().Before(e.ExpiresAt)
+}
+
 func writeState(w http.ResponseWriter, ok bool, problem string) {
 	if !ok {
 		http.Error(w, problem, http.StatusServiceUnavailable)
--- a/internal/parser/settings.go
+++ b/internal/parser/settings.go
@@ -20,14 +20,16 @@
 	Peers          netip.AddrPort
 	Administration netip.AddrPort
 	// Start lists the peer addresses of entries to ask first.
-	Start     []netip.AddrPort
-	Log       netip.AddrPort
-	HostList  netip.AddrPort
-	PeerTLS   TLS
-	AdminTLS  TLS
-	Operators []Operator
-	Limits    Limits
-	LogLevel  zapcore.Level
+	Start    []netip.AddrPort
+	Log      netip.AddrPort
+	HostList netip.AddrPort
+	// LogRetention is how long the log keeps records.
+	LogRetention time.Duration
+	PeerTLS      TLS
+	AdminTLS     TLS
+	Operators    []Operator
+	Limits       Limits
+	LogLevel     zapcore.Level
 }
 
 // TLS names the files of one listener; all are empty if it is not encrypted.
--- a/internal/parser/table.go
+++ b/internal/parser/table.go
@@ -52,6 +52,7 @@
 		s.HostList, err = parseAddress(v)
 		return err
 	}),
+	period("Platform", "LogRetention", 24*time.Hour, time.Minute, 8760*time.Hour, "how long the log keeps records; checkpoints are written well before", func(s *Settings) *time.Duration { return &s.LogRetention }),
 	{
 		Section: "Peers", Key: "Start", Type: "IP:port, ...", Text: "peer addresses of entries to ask first; its own address is skipped",
 		assign: func(s *Settings, v string) (err error) {
@@ -65,11 +66,11 @@
 	path(sectionAdminTLS, "Certificate", "certificate file in PEM form", func(s *Settings) *string { return &s.AdminTLS.Certificate }),
 	path(sectionAdminTLS, "Key", "private key file in PEM form", func(s *Settings) *string { return &s.AdminTLS.Key }),
 	count("Limits", "Header", "bytes", 65536, 4096, 1<<20, "largest header of a caller's request", func(s *Settings, n int64) { s.Limits.Header = int(n) }),
-	period("HeaderPatience", 5*time.Second, 100*time.Millisecond, time.Minute, "time a caller has to send its header", func(s *Settings) *time.Duration { return &s.Limits.HeaderPatience }),
-	period("Idle", 2*time.Minute, time.Second, time.Hour, "time after which an unused connection of a caller is closed", func(s *Settings) *time.Duration { return &s.Limits.Idle }),
+	period("Limits", "HeaderPatience", 5*time.Second, 100*time.Millisecond, time.Minute, "time a caller has to send its header", func(s *Settings) *time.Duration { return &s.Limits.HeaderPatience }),
+	period("Limits", "Idle", 2*time.Minute, time.Second, time.Hour, "time after which an unused connection of a caller is closed", func(s *Settings) *time.Duration { return &s.Limits.Idle }),
 	count("Limits", "PatchBody", "bytes", 1<<20, 1024, 8<<20, "largest patch", func(s *Settings, n int64) { s.Limits.PatchBody = n }),
-	period("PatchPatience", 15*time.Second, time.Second, time.Minute, "time an operator waits for the verdict on a patch", func(s *Settings) *time.Duration { return &s.Limits.PatchPatience }),
-	period("StopPatience", 5*time.Minute, 10*time.Second, time.Hour, "time after which a planned stop ends even with requests in progress", func(s *Settings) *time.Duration { return &s.Limits.StopPatience }),
+	period("Limits", "PatchPatience", 15*time.Second, time.Second, time.Minute, "time an operator waits for the verdict on a patch", func(s *Settings) *time.Duration { return &s.Limits.PatchPatience }),
+	period("Limits", "StopPatience", 5*time.Minute, 10*time.Second, time.Hour, "time after which a planned stop ends even with requests in progress", func(s *Settings) *time.Duration { return &s.Limits.StopPatience }),
 	{
 		Section: "Logging", Key: "Level", Type: "word", Default: "info", Bounds: "debug, info, warn, error", Text: "least severe level that is logged",
 		assign: func(s *Settings, v string) error { return s.LogLevel.Set(v) },
@@ -112,9 +113,9 @@
 	}
 }
 
-func period(key string, standard, least, most time.Duration, text string, field func(*Settings) *time.Duration) Setting {
+func period(section, key string, standard, least, most time.Duration, text string, field func(*Settings) *time.Duration) Setting {
 	return Setting{
-		Section: "Limits", Key: key, Type: "period", Unit: "with unit: ms, s, m, h", Default: standard.String(),
+		Section: section, Key: key, Type: "period", Unit: "with unit: ms, s, m, h", Default: standard.String(),
 		Bounds: least.String() + " to " + most.String(), Text: text,
 		assign: func(s *Settings, v string) (err error) {
 			*field(s), err = parsePeriod(v, least, most)
