Add example files and operators' pages

Cause: a new user had no files to start from and no page to look things up. Change: settings of six entries and patches for both deployments, README with a tour, pages on settings, administration, results, operations and words. A refused stale patch names the current version. Alerts cover only the metrics that exist now.

--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -55,12 +56,15 @@
 // Refusal is the error of a call that an entry refused.
 type Refusal struct{ Reply }
 
-// Error returns the code, its text and the detail.
+// Error returns the code, its text, the detail and the version that a stale patch should name.
 func (r Refusal) Error() string {
 	s := r.Code.String() + ": " + r.Code.Text()
 	if r.Detail != "" {
 		s += " (" + r.Detail + ")"
 	}
+	if r.Code == classifier.StaleVersion {
+		s += "; the current version is " + strconv.FormatUint(r.Version, 10)
+	}
 	return s
 }
 
--- a/internal/commander/fake.go
+++ b/internal/commander/fake.go
@@ -72,7 +72,9 @@
 		defer s.close()
 		s.start()
 	}
-	e.printf("%s is ready at %s\n", kind, handlers[0].address)
+	for _, h := range handlers {
+		e.printf("%s is ready at %s\n", kind, h.address)
+	}
 	<-e.signals
 	return ExitOK
 }
--- /dev/null
+++ b/internal/parser/docs_test.go
@@ -0,0 +1,54 @@
+package parser
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// tableRows returns the rows of the table below a heading, without its head.
+func tableRows(t *testing.T, path, heading string) []string {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	is.New(t).NoErr(err)
+	_, rest, ok := strings.Cut(string(raw), heading+"\n")
+	is.New(t).True(ok)
+	if i := strings.Index(rest, "\n## "); i >= 0 {
+		rest = rest[:i]
+	}
+	var rows []string
+	for line := range strings.SplitSeq(rest, "\n") {
+		if strings.HasPrefix(line, "|") {
+			rows = append(rows, line)
+		}
+	}
+	return rows[min(2, len(rows)):]
+}
+
+func standard(value string, required bool) string {
+	if required {
+		return "required"
+	}
+	return value
+}
+
+// TestSettingsPage guards against a page that lacks a setting or tells another default or bound than the code.
+func TestSettingsPage(t *testing.T) {
+	is := is.New(t)
+	var want []string
+	for _, s := range List() {
+		want = append(want, fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %s |",
+			s.Section, s.Key, s.Type, s.Unit, standard(s.Default, s.Required), s.Bounds, s.Text))
+	}
+	is.Equal(strings.Join(tableRows(t, "../../docs/SETTINGS.md", "## Settings file"), "\n"), strings.Join(want, "\n"))
+
+	want = nil
+	for _, k := range PatchKeys() {
+		want = append(want, fmt.Sprintf("| %s | %s | %s | %s | %s | %s | %s |",
+			k.Section, k.Key, k.Type, k.Unit, standard(k.Default, k.Required), k.Bounds(), k.Text))
+	}
+	is.Equal(strings.Join(tableRows(t, "../../docs/SETTINGS.md", "## Patch file"), "\n"), strings.Join(want, "\n"))
+}
--- a/internal/parser/patch.go
+++ b/internal/parser/patch.go
@@ -59,11 +59,8 @@
 
 func (f *file) head(p *patcher.Patch) {
 	r := f.row(f.find("Patch"))
-	p.Base = uint64(r.count("Base", required, 0, 1<<62))
-	p.ID = r.text("ID", "")
-	if p.ID != "" && !patcher.ValidName(p.ID) {
-		r.bad("ID", "%q is not a name", p.ID)
-	}
+	p.Base = uint64(r.count("Base"))
+	p.ID = r.name("ID")
 	r.finish()
 }
 
--- a/internal/parser/row.go
+++ b/internal/parser/row.go
@@ -3,29 +3,25 @@
 import (
 	"fmt"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
-// required stands in place of a default.
-const required = "\x00"
-
-// maxPeriod bounds the periods of a patch.
-const maxPeriod = 24 * time.Hour
-
 // row reads the keys of one section and notes which are used.
 type row struct {
 	file    *file
 	section section
-	used    map[string]bool
+	// word is the first of the section's name.
+	word string
+	used map[string]bool
 }
 
-func (f *file) row(s section) *row { return &row{file: f, section: s, used: make(map[string]bool)} }
-
-func (r *row) bad(key, format string, args ...any) {
-	r.file.add(r.section.name, key, classifier.BadValue, "%s", fmt.Sprintf(format, args...))
+func (f *file) row(s section) *row {
+	word, _, _ := strings.Cut(s.name, " ")
+	return &row{file: f, section: s, word: word, used: make(map[string]bool)}
 }
 
 // finish reports the keys that were not used.
@@ -37,75 +33,64 @@
 	}
 }
 
-// value returns the text of a key; ok is false if a required one is missing.
-func (r *row) value(key, standard string) (text string, ok bool) {
+// take parses a key and reports what the parser returns; a missing key gives the zero value.
+func take[T any](r *row, key string, parse func(string, PatchKey) (T, error)) T {
+	var zero T
+	spec := findKey(r.word, key)
 	r.used[key] = true
 	v := r.section.values[key]
-	if v != "" {
-		return v, true
-	}
-	if standard == required {
+	if v == "" && spec.Required {
 		r.file.add(r.section.name, key, classifier.MissingKey, "the key is required")
-		return "", false
+		return zero
 	}
-	return standard, true
-}
-
-func (r *row) text(key, standard string) string {
-	v, _ := r.value(key, standard)
-	return v
-}
-
-// take parses a key and reports what the parser returns.
-func take[T any](r *row, key, standard string, parse func(string) (T, error)) T {
-	var zero T
-	v, ok := r.value(key, standard)
-	if !ok {
+	if v == "" {
+		v = spec.Default
+	}
+	if v == "" {
 		return zero
 	}
-	x, err := parse(v)
+	x, err := parse(v, spec)
 	if err != nil {
-		r.bad(key, "%s", err)
+		r.file.add(r.section.name, key, classifier.BadValue, "%s", err)
 		return zero
 	}
 	return x
 }
 
-func (r *row) count(key, standard string, least, most int64) int64 {
-	return take(r, key, standard, func(s string) (int64, error) { return parseInt(s, least, most) })
+func (r *row) count(key string) int64 {
+	return take(r, key, func(s string, k PatchKey) (int64, error) { return parseInt(s, int64(k.least), int64(k.most)) })
 }
 
-func (r *row) number(key, standard string, least, most float64) float64 {
-	return take(r, key, standard, func(s string) (float64, error) { return parseFloat(s, least, most) })
+func (r *row) number(key string) float64 {
+	return take(r, key, func(s string, k PatchKey) (float64, error) { return parseFloat(s, k.least, k.most) })
 }
 
 func (r *row) period(key string) patcher.Period {
-	parse := func(s string) (time.Duration, error) { return parsePeriod(s, time.Millisecond, maxPeriod) }
-	return patcher.Period{Duration: take(r, key, required, parse)}
+	d := take(r, key, func(s string, k PatchKey) (time.Duration, error) {
+		return parsePeriod(s, time.Duration(k.least), time.Duration(k.most))
+	})
+	return patcher.Period{Duration: d}
 }
 
-func (r *row) address(key string) netip.AddrPort { return take(r, key, required, parseAddress) }
+func (r *row) address(key string) netip.AddrPort {
+	return take(r, key, func(s string, _ PatchKey) (netip.AddrPort, error) { return parseAddress(s) })
+}
 
-func (r *row) flag(key string) bool { return take(r, key, "false", parseBool) }
+func (r *row) flag(key string) bool {
+	return take(r, key, func(s string, _ PatchKey) (bool, error) { return parseBool(s) })
+}
 
-// Bounds of the values of a patch that the configuration itself leaves open.
-const (
-	maxBudget   = 100_000
-	maxEntries  = 1000
-	maxUrgency  = 100
-	maxQueue    = 1_000_000
-	maxBody     = 16 << 30
-	maxPerHost  = 100_000
-	usualSpread = "8"
-)
+func (r *row) name(key string) string {
+	return take(r, key, func(s string, _ PatchKey) (string, error) { return parseName(s) })
+}
+
+func (r *row) kind(key string) patcher.Kind {
+	return take(r, key, func(s string, _ PatchKey) (patcher.Kind, error) { return parseKind(s) })
+}
 
 func (f *file) service(s section, name string) patcher.Operation {
 	r := f.row(s)
-	op := patcher.EditService{
-		Name:            name,
-		MeasuringBudget: r.number("MeasuringBudget", required, 0, maxBudget),
-		MaxEntries:      int(r.count("MaxEntries", usualSpread, 1, maxEntries)),
-	}
+	op := patcher.EditService{Name: name, MeasuringBudget: r.number("MeasuringBudget"), MaxEntries: int(r.count("MaxEntries"))}
 	r.finish()
 	return op
 }
@@ -114,13 +99,13 @@
 	r := f.row(s)
 	op := patcher.PutRank{InService: service, Rank: patcher.Rank{
 		Name:     name,
-		Kind:     take(r, "Kind", required, parseKind),
-		Urgency:  int(r.count("Urgency", required, 0, maxUrgency)),
+		Kind:     r.kind("Kind"),
+		Urgency:  int(r.count("Urgency")),
 		Target:   r.period("Target"),
 		Patience: r.period("Patience"),
-		Floor:    r.number("Floor", "0", 0, 1),
-		MaxQueue: int(r.count("MaxQueue", required, 1, maxQueue)),
-		MaxBody:  r.count("MaxBody", "0", 0, maxBody),
+		Floor:    r.number("Floor"),
+		MaxQueue: int(r.count("MaxQueue")),
+		MaxBody:  r.count("MaxBody"),
 	}}
 	if op.Target.Duration > 0 && op.Patience.Duration > 0 && op.Patience.Duration < op.Target.Duration {
 		f.add(s.name, "Patience", classifier.Contradiction, "shorter than Target")
@@ -134,9 +119,9 @@
 	op := patcher.PutUpstream{InService: service, Upstream: patcher.Upstream{
 		Name:        name,
 		Address:     r.address("Address"),
-		DataCentre:  take(r, "DataCentre", required, parseName),
-		Slots:       int(r.count("Slots", required, 1, patcher.MaxSlots)),
-		Connections: int(r.count("Connections", required, 1, maxPerHost)),
+		DataCentre:  r.name("DataCentre"),
+		Slots:       int(r.count("Slots")),
+		Connections: int(r.count("Connections")),
 		Draining:    r.flag("Draining"),
 	}}
 	r.finish()
--- a/internal/parser/table.go
+++ b/internal/parser/table.go
@@ -24,6 +24,8 @@
 	sectionPeerTLS   = "Peer TLS"
 	sectionAdminTLS  = "Administration TLS"
 	sectionOperators = "Operators"
+
+	unitPeriod = "written: ms, s, m, h"
 )
 
 // List returns all settings except the operators, whose keys are their names.
@@ -78,7 +80,7 @@
 
 func name(section, key, text string, field func(*Settings) *string) Setting {
 	return Setting{
-		Section: section, Key: key, Type: "name", Bounds: "1 to 63 of A-Z a-z 0-9 . _ -", Required: true, Text: text,
+		Section: section, Key: key, Type: "name", Bounds: nameForm, Required: true, Text: text,
 		assign: func(s *Settings, v string) (err error) {
 			*field(s), err = parseName(v)
 			return err
@@ -114,7 +116,7 @@
 
 func period(key string, standard, least, most time.Duration, text string, field func(*Settings) *time.Duration) Setting {
 	return Setting{
-		Section: "Limits", Key: key, Type: "period", Unit: "with unit: ms, s, m, h", Default: standard.String(),
+		Section: "Limits", Key: key, Type: "period", Unit: unitPeriod, Default: standard.String(),
 		Bounds: least.String() + " to " + most.String(), Text: text,
 		assign: func(s *Settings, v string) (err error) {
 			*field(s), err = parsePeriod(v, least, most)
