Tell pending patches from refused ones

Cause: a patch whose answer was lost ended like a network failure and without its identifier, so that it could not be submitted again safely. The client gave up after 30 s, while an entry may wait for a verdict for 60 s. Change: exit status 6 with the identifier for patches without a known verdict; the client waits 75 s. The administration bounds the time of a request. The demo starts again if another process took one of its ports. Conclusion: patch files can carry the identifier of an earlier try.

--- a/internal/administrator/administrator_test.go
+++ b/internal/administrator/administrator_test.go
@@ -7,6 +7,7 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"encoding/pem"
 	"errors"
 	"math/big"
@@ -203,3 +204,16 @@
 	is.NoErr(err)
 	is.Equal(status.Name, "e1")
 }
+
+// FuzzPatch guards against a body that is answered without a numbered code, or that ends the process.
+func FuzzPatch(f *testing.F) {
+	f.Add(removal)
+	f.Add(`{"Operations":[{"PutUpstream":{"InService":"S","Address":"1.2.3.4:5","Slots":1e3}}]}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		w := call(New(&fakeNode{}), http.MethodPost, "/patches", "127.0.0.1:5000", "", body)
+		var r Reply
+		if err := json.Unmarshal(w.Body.Bytes(), &r); err != nil || !r.Code.Known() || w.Code != r.Code.Status() {
+			t.Fatalf("%q was answered %d %q", body, w.Code, w.Body)
+		}
+	})
+}
--- a/internal/administrator/client.go
+++ b/internal/administrator/client.go
@@ -11,6 +11,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"strings"
 
 	"github.com/pkg/errors"
 
@@ -56,12 +57,15 @@
 // Refusal is the error of a call that an entry refused.
 type Refusal struct{ Reply }
 
-// Error returns the code, its text, the detail and the version that a stale patch should name.
+// Error returns the code, its text, the detail, the entries waited for, and the version that a stale patch should name.
 func (r Refusal) Error() string {
 	s := r.Code.String() + ": " + r.Code.Text()
 	if r.Detail != "" {
 		s += " (" + r.Detail + ")"
 	}
+	if len(r.Pending) > 0 {
+		s += "; waiting for " + strings.Join(r.Pending, ", ")
+	}
 	if r.Code == classifier.StaleVersion {
 		s += "; the current version is " + strconv.FormatUint(r.Version, 10)
 	}
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -22,6 +22,8 @@
 	ExitFaulty = 4
 	// ExitBroken is a run in which an invariant broke.
 	ExitBroken = 5
+	// ExitPending is a patch whose verdict is not known, or that is not yet in force everywhere.
+	ExitPending = 6
 )
 
 const statuses = `exit status:
@@ -31,6 +33,7 @@
   3  an entry refused the call; the code is printed
   4  a settings or patch file has problems; all are printed
   5  an invariant broke during a run
+  6  the verdict on a patch is not known, or it is not yet in force everywhere
 `
 
 // command is one subcommand.
--- a/internal/commander/demo_system.go
+++ b/internal/commander/demo_system.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -66,8 +67,20 @@
 	return list, nil
 }
 
+// maxStarts bounds the attempts to start on free ports, which another process may take in between.
+const maxStarts = 3
+
 // startDemo starts the stand-ins and the entries and brings the first configuration into force.
 func startDemo(ctx context.Context, d deployment, entries int) (*demoSystem, error) {
+	for n := 1; ; n++ {
+		s, err := tryDemo(ctx, d, entries)
+		if n == maxStarts || !errors.Is(err, syscall.EADDRINUSE) {
+			return s, err
+		}
+	}
+}
+
+func tryDemo(ctx context.Context, d deployment, entries int) (*demoSystem, error) {
 	s := &demoSystem{deployment: d, log: faker.NewLog()}
 	err := s.start(entries)
 	if err == nil {
--- a/internal/commander/flags.go
+++ b/internal/commander/flags.go
@@ -10,6 +10,7 @@
 
 	"github.com/azuretrestle/azuretrestle/internal/administrator"
 	"github.com/azuretrestle/azuretrestle/internal/parser"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
 // flagSet returns the flags of a subcommand with a help text.
@@ -112,6 +113,8 @@
 	var refusal administrator.Refusal
 	var problems parser.Problems
 	switch {
+	case errors.As(err, &refusal) && refusal.Code == classifier.PatchPending:
+		return ExitPending
 	case errors.As(err, &refusal):
 		return ExitRefused
 	case errors.As(err, &problems):
--- a/internal/commander/remote.go
+++ b/internal/commander/remote.go
@@ -13,8 +13,8 @@
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
-// callPatience bounds a call to an entry; it exceeds the time that an entry waits for a verdict by default.
-const callPatience = 30 * time.Second
+// callPatience bounds a call to an entry; it exceeds the largest PatchPatience of the settings.
+const callPatience = 75 * time.Second
 
 // call runs f with a client of the entry that the flags name.
 func (r remote) call(f func(context.Context, *administrator.Client) error) int {
@@ -54,7 +54,12 @@
 	if p.ID == "" {
 		p.ID = uuid.Must(uuid.NewV7()).String()
 	}
-	return r.call(func(ctx context.Context, c *administrator.Client) error { return e.submit(ctx, c, p, *r.json) })
+	status := r.call(func(ctx context.Context, c *administrator.Client) error { return e.submit(ctx, c, p, *r.json) })
+	if status == ExitFailure || status == ExitPending {
+		e.complain("the patch may have taken effect; to submit it again without a second effect, set ID = " + p.ID + " in its section [Patch]")
+		return ExitPending
+	}
+	return status
 }
 
 func (e *environment) submit(ctx context.Context, c *administrator.Client, p patcher.Patch, asJSON bool) error {
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -94,8 +94,11 @@
 	en.admin, err = newServer(s.Administration, en.administration(), config, en.logger)
 	if err != nil {
 		en.callers.close()
+		return err
 	}
-	return err
+	en.admin.http.ReadTimeout = adminPatience
+	en.admin.http.IdleTimeout = s.Limits.Idle
+	return nil
 }
 
 func (en *entry) adminTLS() (*tls.Config, error) {
@@ -170,7 +173,11 @@
 	failed   chan error
 }
 
-const headerPatience = 5 * time.Second
+const (
+	headerPatience = 5 * time.Second
+	// adminPatience bounds the time an operator's request takes to arrive.
+	adminPatience = 30 * time.Second
+)
 
 func newServer(a netip.AddrPort, h http.Handler, t *tls.Config, l *zap.Logger) (*server, error) {
 	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", a.String())
