--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -110,7 +110,12 @@
 		driver.WithLimits(driver.Limits{Header: s.Limits.Header, HeaderPatience: s.Limits.HeaderPatience, Idle: s.Limits.Idle}),
 	)
 	en.admin, err = newServer(s.Administration, en.administration(), config, en.logger)
-	return err
+	if err != nil {
+		return err
+	}
+	en.admin.http.ReadTimeout = adminPatience
+	en.admin.http.IdleTimeout = s.Limits.Idle
+	return nil
 }
 
 // peerTLS returns nil if peers talk over plain TCP.
@@ -185,6 +190,7 @@
 	select {
 	case <-en.driver.Done():
 	case <-ctx.Done():
+		en.abandon()
 		return errors.New("requests were still in progress at the end of StopPatience")
 	}
 	en.platform.Close()
@@ -209,7 +215,11 @@
 	failed   chan error
 }
 
-const headerPatience = 5 * time.Second
+const (
+	headerPatience = 5 * time.Second
+	// adminPatience bounds the time an operator's request takes to arrive.
+	adminPatience = 30 * time.Second
+)
 
 func newServer(a netip.AddrPort, h http.Handler, t *tls.Config, l *zap.Logger) (*server, error) {
 	listener, err := listen(a)
