Cut the ceiling from what was in flight when an upstream shed

Cause: with 6 entries and 4 slots an entry has one or two requests in flight per upstream, so that a ceiling counted down from the slots took several sheds to have an effect; repeats of shed requests used up the allowance. Change: a shed sets the ceiling to 0.8 of the requests that were in flight, and it rises by 0.02 per answer; the slack of the most urgent rank counts within it. Dropped: limits of 0 while others use all slots.

--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -17,7 +17,7 @@
 	urgentSlack = 1
 	// shedFactor lowers the ceiling of an upstream that shed a request.
 	shedFactor = 0.8
-	// shedRecovery raises the ceiling per answer, as a share of the slots.
+	// shedRecovery raises the ceiling per answer.
 	shedRecovery = 0.02
 	// windowGrowth and windowDecay change the window with each answer.
 	windowGrowth = 0.1
@@ -91,14 +91,14 @@
 	if !urgent {
 		return min(limit, int(u.window))
 	}
-	if u.ceiling > float64(limit) {
+	if u.ceiling >= float64(limit+urgentSlack) {
 		limit += urgentSlack
 	}
 	return limit
 }
 
 func (u *upstream) shed(now time.Time) {
-	u.ceiling = max(u.ceiling*shedFactor, 1)
+	u.ceiling = max(min(u.ceiling, float64(u.inFlight+1))*shedFactor, 1)
 	u.pausedUntil = now.Add(shedPause)
 }
 
@@ -111,5 +111,5 @@
 	} else {
 		u.window = max(u.window-windowDecay, 1)
 	}
-	u.ceiling = min(u.ceiling+shedRecovery*float64(u.Slots), float64(u.Slots))
+	u.ceiling = min(u.ceiling+shedRecovery, float64(u.Slots))
 }
