Bound less urgent ranks to a share of the slots when others use all

Cause: six entries with at least one request each hold more than the 4 slots of an upstream, so that lookups queued behind bulk work at the upstream. Change: while others use all slots, less urgent ranks keep slots / MaxEntries per upstream, rounded up or down at random per upstream.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -114,6 +114,7 @@
 			p.rejoin(now, known)
 		}
 		known.Upstream = u
+		known.least = p.least(u.Slots, s.MaxEntries)
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
 		p.note(now, known)
@@ -173,6 +174,12 @@
 	return best
 }
 
+// least is this entry's share of the slots if all entries want them, rounded up or down at random.
+func (p *Pool) least(slots, entries int) int {
+	share := float64(slots) / float64(max(entries, 1))
+	return int(share + p.random.Float64())
+}
+
 // step returns a random stride that visits every upstream, so that neighbours in the list are not tied together.
 func (p *Pool) step() int {
 	n := len(p.upstreams)
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -56,6 +56,8 @@
 	pausedUntil time.Time
 	// window bounds the requests of less urgent ranks to a little more than what was in use lately.
 	window float64
+	// least is the limit that less urgent ranks keep even if others use all slots.
+	least int
 }
 
 func newUpstream(c patcher.Upstream) *upstream {
@@ -81,16 +83,18 @@
 	return u.others * math.Exp(-now.Sub(u.reportedAt).Seconds()/reportLife.Seconds())
 }
 
-// limit bounds the requests in flight of this entry by the slots that others leave, at least one.
+// limit bounds the requests in flight of this entry by the slots that others leave;
+// at least one for the most urgent rank and the share of this entry for the others.
 func (u *upstream) limit(now time.Time, urgent bool) int {
 	if now.Before(u.pausedUntil) {
 		return 0
 	}
 	room := float64(u.Slots) - u.othersNow(now)
-	limit := max(int(min(room, u.ceiling)*(1-u.away(now))), 1)
+	limit := int(min(room, u.ceiling) * (1 - u.away(now)))
 	if !urgent {
-		return min(limit, int(u.window))
+		return max(min(limit, int(u.window)), int(float64(u.least)*(1-u.away(now))))
 	}
+	limit = max(limit, 1)
 	if u.ceiling >= float64(limit+urgentSlack) {
 		limit += urgentSlack
 	}
