Trust reports by half in the cost and remember slowness for 3 s

Cause: upstreams that claim to be idle drew work, and a straggler was tried anew each second. Change: the use by others counts half in the cost; slowness fades with 3 s instead of 1 s. The limits still use the full estimate.

--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -13,9 +13,11 @@
 	// maxSlowness bounds one sample, so that a single stall is forgotten soon.
 	maxSlowness = 30.0
 	// slownessLife is the time in which knowledge of the slowness falls to 1/e.
-	slownessLife = time.Second
+	slownessLife = 3 * time.Second
 	// distanceCost is the cost of another data centre as a multiple of the mean latency.
 	distanceCost = 0.1
+	// reportTrust is the weight of the use by others, which reports may misstate.
+	reportTrust = 0.5
 	// idleCost is the cost of an idle upstream; the use of its slots adds up to 1 to it.
 	idleCost = 0.5
 )
@@ -66,7 +68,7 @@
 
 // cost ranks the candidates; the lowest is picked.
 func (p *Pool) cost(now time.Time, u *upstream) float64 {
-	use := (float64(u.inFlight) + u.othersNow(now) + 1) / float64(u.Slots)
+	use := (float64(u.inFlight) + reportTrust*u.othersNow(now) + 1) / float64(u.Slots)
 	c := u.slownessNow(now) * (idleCost + use) * u.costFactor(now)
 	if u.DataCentre != p.dataCentre {
 		c += distanceCost
