--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -17,7 +17,7 @@
 	urgentSlack = 1
 	// shedFactor lowers the ceiling of an upstream that shed a request.
 	shedFactor = 0.8
-	// shedRecovery raises the ceiling per answer, as a share of the slots.
+	// shedRecovery raises the ceiling per answer.
 	shedRecovery = 0.02
 	// windowGrowth and windowDecay change the window with each answer.
 	windowGrowth = 0.1
@@ -56,6 +56,8 @@
 	pausedUntil time.Time
 	// window bounds the requests of less urgent ranks to a little more than what was in use lately.
 	window float64
+	// least is the limit that less urgent ranks keep even if others use all slots.
+	least int
 }
 
 func newUpstream(c patcher.Upstream) *upstream {
@@ -81,24 +83,26 @@
 	return u.others * math.Exp(-now.Sub(u.reportedAt).Seconds()/reportLife.Seconds())
 }
 
-// limit bounds the requests in flight of this entry by the slots that others leave, at least one.
+// limit bounds the requests in flight of this entry by the slots that others leave;
+// at least one for the most urgent rank and the share of this entry for the others.
 func (u *upstream) limit(now time.Time, urgent bool) int {
 	if now.Before(u.pausedUntil) {
 		return 0
 	}
 	room := float64(u.Slots) - u.othersNow(now)
-	limit := max(int(min(room, u.ceiling)*(1-u.away(now))), 1)
+	limit := int(min(room, u.ceiling) * (1 - u.away(now)))
 	if !urgent {
-		return min(limit, int(u.window))
+		return max(min(limit, int(u.window)), int(float64(u.least)*(1-u.away(now))))
 	}
-	if u.ceiling > float64(limit) {
+	limit = max(limit, 1)
+	if u.ceiling >= float64(limit+urgentSlack) {
 		limit += urgentSlack
 	}
 	return limit
 }
 
 func (u *upstream) shed(now time.Time) {
-	u.ceiling = max(u.ceiling*shedFactor, 1)
+	u.ceiling = max(min(u.ceiling, float64(u.inFlight+1))*shedFactor, 1)
 	u.pausedUntil = now.Add(shedPause)
 }
 
@@ -111,5 +115,5 @@
 	} else {
 		u.window = max(u.window-windowDecay, 1)
 	}
-	u.ceiling = min(u.ceiling+shedRecovery*float64(u.Slots), float64(u.Slots))
+	u.ceiling = min(u.ceiling+shedRecovery, float64(u.Slots))
 }
