Give the stand-ins faults that can be switched while they run

Cause: failure tests need silent connections, lost and cut answers, stale and misleading reports, an expiring log and a lagging host list, in one process or several.

--- /dev/null
+++ b/internal/faker/control.go
@@ -0,0 +1,69 @@
+package faker
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+)
+
+// controlPath is where each stand-in takes its faults: POST replaces them, GET tells the state.
+const controlPath = "/control"
+
+const maxControl = 1 << 20
+
+// Period is a length of time that is written as text, such as "50ms".
+type Period struct{ time.Duration }
+
+// MarshalText returns the period in the form of time.Duration.String.
+func (p Period) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText parses the form of time.ParseDuration; it returns that function's error.
+func (p *Period) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	p.Duration = d
+	return err
+}
+
+// control answers a request at the control path: set takes what was posted, state is told afterwards.
+func control[T any](w http.ResponseWriter, r *http.Request, set func(T), state func() any) {
+	exempt(r)
+	switch r.Method {
+	case http.MethodGet:
+	case http.MethodPost:
+		var v T
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxControl))
+		if err == nil {
+			err = json.Unmarshal(body, &v)
+		}
+		if err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		set(v)
+	default:
+		http.Error(w, "only GET and POST", http.StatusMethodNotAllowed)
+		return
+	}
+	writeJSON(w, state())
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// pause waits for d; it reports false if the client left meanwhile.
+func pause(r *http.Request, d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-r.Context().Done():
+		return false
+	}
+}
--- a/internal/faker/list.go
+++ b/internal/faker/list.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"time"
 )
 
 // Host is one line of the host list.
@@ -15,24 +16,81 @@
 	Leaving    bool
 }
 
-// List is a stand-in of the platform's host list; it shows what was set last, so a test decides how it lags.
+// List is a stand-in of the platform's host list; it shows changes only after its lag.
 type List struct {
-	mu    sync.Mutex
-	hosts []Host
+	mu      sync.Mutex
+	hosts   []Host
+	pending []pendingHosts
+	lag     time.Duration
+	down    bool
+}
+
+type pendingHosts struct {
+	visibleAt time.Time
+	hosts     []Host
 }
 
 // Set replaces the list.
 func (l *List) Set(hosts []Host) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.hosts = append([]Host(nil), hosts...)
+	l.pending = append(l.pending, pendingHosts{time.Now().Add(l.lag), append([]Host(nil), hosts...)})
+}
+
+// SetLag delays the visibility of later changes.
+func (l *List) SetLag(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.lag = d
+}
+
+// SetDown makes the list refuse every call.
+func (l *List) SetDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// listCommand is what the control path takes; Hosts is left as it is if missing.
+type listCommand struct {
+	Hosts []Host
+	Lag   Period
+	Down  bool
+}
+
+func (l *List) command(c listCommand) {
+	l.SetLag(c.Lag.Duration)
+	l.SetDown(c.Down)
+	if c.Hosts != nil {
+		l.Set(c.Hosts)
+	}
+}
+
+func (l *List) state() any {
+	hosts, _ := l.visible(time.Now())
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return listCommand{Hosts: hosts, Lag: Period{l.lag}, Down: l.down}
+}
+
+// visible returns the hosts that the list shows, and false if it is down.
+func (l *List) visible(now time.Time) ([]Host, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.pending) > 0 && !now.Before(l.pending[0].visibleAt) {
+		l.hosts = l.pending[0].hosts
+		l.pending = l.pending[1:]
+	}
+	return l.hosts, !l.down
 }
 
 // ServeHTTP answers with the list.
 func (l *List) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	l.mu.Lock()
-	hosts := l.hosts
-	l.mu.Unlock()
+	hosts, ok := l.visible(time.Now())
+	if !ok {
+		http.Error(w, "list is down", http.StatusServiceUnavailable)
+		return
+	}
 	writeJSON(w, hosts)
 }
 
@@ -40,5 +98,8 @@
 func (l *List) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/hosts", l)
+	mux.HandleFunc(controlPath, func(w http.ResponseWriter, r *http.Request) {
+		control(w, r, l.command, l.state)
+	})
 	return mux
 }
--- a/internal/faker/log.go
+++ b/internal/faker/log.go
@@ -1,7 +1,6 @@
 package faker
 
 import (
-	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,48 +9,73 @@
 )
 
 // LogMode is a fault of the log stand-in.
-type LogMode uint8
+type LogMode string
 
 // The modes of the log stand-in.
 const (
-	LogUp LogMode = iota
+	LogUp LogMode = ""
 	// LogDown refuses every call.
-	LogDown
+	LogDown LogMode = "Down"
 	// LogLosesAnswers takes appends and then fails to answer.
-	LogLosesAnswers
+	LogLosesAnswers LogMode = "LosesAnswers"
+	// LogHangs answers nothing until the client leaves.
+	LogHangs LogMode = "Hangs"
 )
 
-const maxPage = 1000
+const (
+	maxPage    = 1000
+	maxPayload = 8 << 20
+)
 
 // Log is a stand-in of the platform's append-only log service.
 type Log struct {
 	mu      sync.Mutex
 	streams map[string]*stream
-	mode    LogMode
+	faults  LogFaults
+	appends int
+}
+
+// LogFaults is what the log stand-in does wrong, and for how long it keeps records.
+type LogFaults struct {
+	Mode LogMode
 	// Latency delays each answer.
-	latency time.Duration
+	Latency Period
+	// Retention is the age at which records are dropped; 0 keeps them.
+	Retention Period
 }
 
 type stream struct {
 	first   uint64
-	records [][]byte
+	records []storedRecord
+}
+
+type storedRecord struct {
+	at      time.Time
+	payload []byte
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{streams: make(map[string]*stream)} }
 
-// SetMode changes the fault of the log.
+// Set replaces the faults.
+func (l *Log) Set(f LogFaults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// SetMode changes the mode alone.
 func (l *Log) SetMode(m LogMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mode = m
+	l.faults.Mode = m
 }
 
 // SetLatency delays every later answer.
 func (l *Log) SetLatency(d time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.latency = d
+	l.faults.Latency.Duration = d
 }
 
 // Expire drops the records of a stream below an offset.
@@ -60,24 +84,73 @@
 	defer l.mu.Unlock()
 	s := l.stream(name)
 	for s.first < before && len(s.records) > 0 {
-		s.records = s.records[1:]
-		s.first++
+		s.drop()
+	}
+}
+
+func (s *stream) drop() {
+	s.records = s.records[1:]
+	s.first++
+}
+
+// logCommand is what the control path takes.
+type logCommand struct {
+	LogFaults
+	// Expire drops records by stream and offset.
+	Expire map[string]uint64
+}
+
+type logState struct {
+	LogFaults
+	Appends int
+	// Tails is the next offset of each stream.
+	Tails map[string]uint64
+}
+
+func (l *Log) command(c logCommand) {
+	l.Set(c.LogFaults)
+	for name, before := range c.Expire {
+		l.Expire(name, before)
+	}
+}
+
+func (l *Log) state() any {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := logState{LogFaults: l.faults, Appends: l.appends, Tails: make(map[string]uint64)}
+	for name, s := range l.streams {
+		out.Tails[name] = s.first + uint64(len(s.records))
 	}
+	return out
+}
+
+// Handler returns the log's HTTP interface.
+func (l *Log) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/streams/{stream}", l)
+	mux.HandleFunc(controlPath, func(w http.ResponseWriter, r *http.Request) {
+		control(w, r, l.command, l.state)
+	})
+	return mux
 }
 
 // ServeHTTP answers appends and reads.
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	mode, latency := l.fault()
-	if !pause(r, latency) {
+	f := l.fault()
+	if f.Mode == LogHangs {
+		<-r.Context().Done()
+		return
+	}
+	if !pause(r, f.Latency.Duration) {
 		return
 	}
-	if mode == LogDown {
+	if f.Mode == LogDown {
 		http.Error(w, "log is down", http.StatusServiceUnavailable)
 		return
 	}
 	name := r.PathValue("stream")
 	if r.Method == http.MethodPost {
-		l.append(w, r, name, mode)
+		l.append(w, r, name, f.Mode)
 		return
 	}
 	from, err := strconv.ParseUint(r.URL.Query().Get("From"), 10, 64)
@@ -88,28 +161,23 @@
 	writeJSON(w, l.page(name, from))
 }
 
-// Handler returns the log's HTTP interface.
-func (l *Log) Handler() http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle("/streams/{stream}", l)
-	return mux
-}
-
-func (l *Log) fault() (LogMode, time.Duration) {
+func (l *Log) fault() LogFaults {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mode, l.latency
+	return l.faults
 }
 
 func (l *Log) append(w http.ResponseWriter, r *http.Request, name string, mode LogMode) {
-	payload, err := io.ReadAll(io.LimitReader(r.Body, maxPayload))
+	payload, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxPayload))
 	if err != nil {
+		http.Error(w, "record can't be read", http.StatusRequestEntityTooLarge)
 		return
 	}
 	l.mu.Lock()
 	s := l.stream(name)
-	s.records = append(s.records, payload)
+	s.records = append(s.records, storedRecord{time.Now(), payload})
 	offset := s.first + uint64(len(s.records)) - 1
+	l.appends++
 	l.mu.Unlock()
 	if mode == LogLosesAnswers {
 		panic(http.ErrAbortHandler)
@@ -117,8 +185,6 @@
 	writeJSON(w, struct{ Offset uint64 }{offset})
 }
 
-const maxPayload = 8 << 20
-
 type page struct {
 	First, Next, Tail uint64
 	Records           []logRecord
@@ -137,37 +203,22 @@
 	from = min(max(from, s.first), tail)
 	p := page{First: s.first, Next: from, Tail: tail}
 	for p.Next < tail && len(p.Records) < maxPage {
-		p.Records = append(p.Records, logRecord{Offset: p.Next, Payload: s.records[p.Next-s.first]})
+		p.Records = append(p.Records, logRecord{Offset: p.Next, Payload: s.records[p.Next-s.first].payload})
 		p.Next++
 	}
 	return p
 }
 
+// stream returns a stream without the records beyond the retention time.
 func (l *Log) stream(name string) *stream {
 	s, ok := l.streams[name]
 	if !ok {
 		s = &stream{}
 		l.streams[name] = s
 	}
-	return s
-}
-
-func writeJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(v)
-}
-
-// pause waits for d; it reports false if the client left meanwhile.
-func pause(r *http.Request, d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.Context().Done():
-		return false
+	keep := l.faults.Retention.Duration
+	for keep > 0 && len(s.records) > 0 && time.Since(s.records[0].at) > keep {
+		s.drop()
 	}
+	return s
 }
