Tell refused appends from unknown ones and bound the platform's answers

Cause: an append that never had a connection counted as unknown, an answer beyond the bound was cut silently, and redirects were followed. A lost append on a kept connection reaches the log once, also with an empty body.

--- a/internal/faker/log.go
+++ b/internal/faker/log.go
@@ -138,6 +138,8 @@
 func (l *Log) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f := l.fault()
 	if f.Mode == LogHangs {
+		// The server notices that a client left only after the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
 		return
 	}
--- a/internal/recorder/recorder.go
+++ b/internal/recorder/recorder.go
@@ -5,10 +5,14 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"strconv"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -66,15 +70,42 @@
 	http  *http.Client
 }
 
+// Bounds on the platform's part of an exchange. The caller's context bounds an
+// exchange as a whole; an append or read within it waits at most dialPatience for a connection.
+const (
+	dialPatience   = time.Second
+	idlePatience   = time.Minute
+	maxConnections = 8
+	maxHeaders     = 16 << 10
+)
+
 // NewClient returns a client of the log and the host list at the given addresses.
 func NewClient(log, hosts netip.AddrPort) *Client {
-	return &Client{log: "http://" + log.String(), hosts: "http://" + hosts.String(), http: &http.Client{Transport: &http.Transport{}}}
+	dialer := &net.Dialer{Timeout: dialPatience}
+	return &Client{
+		log:   "http://" + log.String(),
+		hosts: "http://" + hosts.String(),
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:            dialer.DialContext,
+				MaxConnsPerHost:        maxConnections,
+				IdleConnTimeout:        idlePatience,
+				MaxResponseHeaderBytes: maxHeaders,
+			},
+			// A redirect would send an append to a place that the settings don't name.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
 }
 
-type appended struct{ Offset uint64 }
+type appended struct{ Offset *uint64 }
 
 // Append adds a record to a stream.
 func (c *Client) Append(ctx context.Context, stream string, payload []byte) (uint64, error) {
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.log+"/streams/"+url.PathEscape(stream), bytes.NewReader(payload))
 	if err != nil {
 		return 0, ErrRefused
@@ -83,7 +114,17 @@
 	req.GetBody = nil
 	var a appended
 	err = c.do(req, &a)
-	return a.Offset, err
+	switch {
+	case err != nil && !connected.Load():
+		// Without a connection no byte was sent.
+		return 0, errors.Wrap(ErrRefused, err.Error())
+	case err != nil:
+		return 0, err
+	case a.Offset == nil:
+		return 0, errors.New("log answered without an offset")
+	default:
+		return *a.Offset, nil
+	}
 }
 
 // Read returns records of a stream from an offset on.
@@ -117,15 +158,18 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
-	if err != nil {
-		return err
-	}
 	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode < http.StatusInternalServerError {
-		return ErrRefused
+		return errors.Wrap(ErrRefused, resp.Status)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return errors.Errorf("platform answered %s", resp.Status)
 	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1))
+	if err != nil {
+		return err
+	}
+	if len(body) > maxAnswer {
+		return errors.Errorf("platform answered more than %d bytes", maxAnswer)
+	}
 	return json.Unmarshal(body, out)
 }
