Let the demo flood a rank

Cause: the demo showed no flood, which is the users' hardest case. Change: a rank of a load may have a surge with another rate; the demo's fault flood offers twice the capacity of the bulk rank's service for a tenth of the run. The surge's counts are within 15% of its rate.

--- a/internal/commander/demo.go
+++ b/internal/commander/demo.go
@@ -55,6 +55,8 @@
 	begin       time.Time
 	duration    time.Duration
 	work        sync.WaitGroup
+	// floodText says what the flood is.
+	floodText string
 
 	mu    sync.Mutex
 	lines []faultLine
@@ -113,13 +115,17 @@
 		return nil, err
 	}
 	defer d.system.close()
+	ranks := d.system.deployment.load(*l.rate)
+	if d.faults["flood"] {
+		d.floodText = d.system.deployment.flood(ranks, d.share(floodFrom), d.share(floodTo))
+	}
 	d.begin = time.Now()
 	ctx, cancel := context.WithCancel(ctx)
 	d.work.Go(func() { d.watcher.versions(ctx, d.system) })
 	d.work.Go(func() { d.runFaults(ctx) })
 	load, err := loader.Run(ctx, loader.Options{
 		Seeds: d.system.callers(), DataCentres: d.system.deployment.centres,
-		Ranks: d.system.deployment.load(*l.rate), Duration: d.duration, Seed: *l.seed,
+		Ranks: ranks, Duration: d.duration, Seed: *l.seed,
 		Runs: d.system.runs, Progress: d.progress,
 	})
 	cancel()
@@ -130,6 +136,9 @@
 	return d.report(l, load), nil
 }
 
+// share returns a part of the duration.
+func (d *demo) share(x float64) time.Duration { return time.Duration(x * float64(d.duration)) }
+
 func (d *demo) progress(p loader.Progress) {
 	_, _ = fmt.Fprintf(d.environment.stderr, "%4.1fs  %d offered, %d ended\n", p.Elapsed.Seconds(), p.Offered, p.Answered)
 }
--- a/internal/commander/demo_faults.go
+++ b/internal/commander/demo_faults.go
@@ -13,11 +13,17 @@
 const stragglerFactor = 20
 
 // faultNames lists the faults in the order in which they begin.
-var faultNames = []string{"straggler", "drain", "stop", "kill", "log", "patch"}
+var faultNames = []string{"straggler", "drain", "stop", "kill", "log", "patch", "flood"}
 
-// usualFaults leaves out kill, whose lost requests the summary would have to explain.
+// usualFaults leaves out kill and flood, after which the summary shows requests without an answer.
 const usualFaults = "straggler,drain,stop,log,patch"
 
+// The flood's part of the run.
+const (
+	floodFrom = 0.55
+	floodTo   = 0.65
+)
+
 // step is one moment of a fault, at a share of the duration.
 type step struct {
 	fault string
@@ -42,6 +48,8 @@
 		{"straggler", 0.45, slow.Name + " recovers", func(context.Context) { slow.slow.Store(1) }},
 		{"log", 0.50, "the log goes down", func(context.Context) { d.system.log.SetMode(faker.LogDown) }},
 		{"log", 0.70, "the log comes back", func(context.Context) { d.system.log.SetMode(faker.LogUp) }},
+		{"flood", floodFrom, d.floodText, func(context.Context) {}},
+		{"flood", floodTo, "the flood ends", func(context.Context) {}},
 		{"patch", 0.75, "a patch and a stale patch are submitted", d.patchTwice},
 	}
 }
@@ -53,7 +61,7 @@
 		if !d.faults[s.fault] {
 			continue
 		}
-		t := time.NewTimer(time.Until(begin.Add(time.Duration(s.at * float64(d.duration)))))
+		t := time.NewTimer(time.Until(begin.Add(d.share(s.at))))
 		select {
 		case <-ctx.Done():
 			t.Stop()
--- a/internal/commander/deployment.go
+++ b/internal/commander/deployment.go
@@ -127,6 +127,22 @@
 	return list
 }
 
+// floodFactor is how far a flood exceeds what the upstreams of its service can carry out.
+const floodFactor = 2
+
+// flood lets the least urgent rank exceed the capacity of its service for a part of the run.
+func (d deployment) flood(ranks []loader.Rank, from, to time.Duration) string {
+	s := d.services[len(d.services)-1]
+	r := s.ranks[len(s.ranks)-1]
+	capacity := float64(s.upstreams*s.slots) / r.work.Seconds()
+	for i := range ranks {
+		if ranks[i].Service == s.name && ranks[i].Name == r.Name {
+			ranks[i].Surge = loader.Surge{From: from, To: to, Rate: floodFactor * capacity}
+		}
+	}
+	return fmt.Sprintf("%s/%s floods with %.0f requests/s, its service can carry out %.0f", s.name, r.Name, floodFactor*capacity, capacity)
+}
+
 // work returns the mean time for a request by its rank.
 func (d deployment) work(service, rank string) time.Duration {
 	for _, s := range d.services {
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -135,6 +135,16 @@
 	}
 	seconds := last.Sub(r.begin).Seconds()
 	is.True(seconds > 95 && seconds < 105)
+
+	r.options.Ranks[0].Surge = Surge{From: 10 * time.Second, To: 20 * time.Second, Rate: 1000}
+	s := r.schedules()[0]
+	var counts [3]int
+	for at := s.next(); at.Before(time.Unix(30, 0)); at = s.next() {
+		counts[at.Unix()/10]++
+	}
+	for i, want := range []int{1000, 10_000, 1000} {
+		is.True(counts[i] > want*85/100 && counts[i] < want*115/100)
+	}
 }
 
 // TestOutput guards against a report that can't be read as JSON or text, and against an empty plot file.
--- a/internal/loader/options.go
+++ b/internal/loader/options.go
@@ -17,7 +17,17 @@
 	// Patience is the time from the intended start to the deadline.
 	Patience time.Duration
 	// Body is the size of a request in bytes.
-	Body int
+	Body  int
+	Surge Surge
+}
+
+// Surge is a part of a run with another rate.
+type Surge struct {
+	// From and To count from the begin of the run; the surge is empty if they are equal.
+	From time.Duration
+	To   time.Duration
+	// Rate replaces that of the rank, in requests a second.
+	Rate float64
 }
 
 // Options describe a run.
