Take a new key if the witness of an unused one is lost

Cause: after an entry was killed, 29 of 1,516 postings ended as unknown with WitnessSilent. They had run nowhere: the first entry answered not run, but the client library tried again with the same key, and no further entry can tell that the key was never used. Ruled out: a wrong outcome of the entries. Change: pkg/caller takes another key after WitnessSilent or WitnessLost, as long as all attempts so far were certainly not run, and drops the keys kept from the same batch.

--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -219,3 +219,33 @@
 	is.Equal(fail.Code, classifier.UpstreamTimeout)
 	is.True(time.Since(begin) < 2*time.Second)
 }
+
+// TestRenewKey guards against work that stays undone because the witness of
+// its key is lost, and against a new key after an attempt that may have run.
+func TestRenewKey(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		script string
+		keys   []string
+		first  []string
+	}{
+		{"silent witness", "NotRun 401,OK", []string{"k1", "k2"}, []string{"1", "1"}},
+		{"lost witness", "NotRun 407,OK", []string{"k1", "k2"}, []string{"1", "1"}},
+		{"may have run", "Unknown 401,OK", []string{"k1", "k1"}, []string{"1", ""}},
+		{"lost connection first", "lost,NotRun 401,OK", []string{"k1", "k1", "k1"}, []string{"1", "", ""}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := &fakeEntry{script: strings.Split(c.script, ","), expires: time.Minute}
+			client := New([]netip.AddrPort{f.start(t)})
+			defer client.Close()
+			a, err := client.Do(t.Context(), Request{Service: "S", Rank: "R", OnceOnly: true})
+			is.NoErr(err)
+			is.Equal(a.Key, c.keys[len(c.keys)-1])
+			for i, h := range f.got {
+				is.Equal(h.Get(headerKey), c.keys[i])
+				is.Equal(h.Get(headerAttempt), c.first[i])
+			}
+		})
+	}
+}
--- a/pkg/caller/do.go
+++ b/pkg/caller/do.go
@@ -65,6 +65,8 @@
 	request Request
 	fresh   bool
 	tried   []netip.AddrPort
+	// earlier is the number of attempts that were made with other keys.
+	earlier int
 	// outcome is Unknown once an attempt may have run.
 	outcome classifier.Outcome
 }
@@ -85,6 +87,7 @@
 		if !w.again(ctx, f.Code) {
 			return nil, w.fail(f)
 		}
+		w.renewKey(ctx, f.Code)
 	}
 }
 
@@ -104,6 +107,25 @@
 	return len(w.tried) < 2 || wait(ctx, len(w.tried)-2)
 }
 
+// renewKey takes another key if the witness of this one can't be asked. That is
+// safe only while no attempt can have run; with the old key, no further entry
+// could tell that.
+func (w *work) renewKey(ctx context.Context, code classifier.Code) {
+	if !w.request.OnceOnly || !w.fresh || w.outcome != classifier.OutcomeNotRun {
+		return
+	}
+	if code != classifier.WitnessSilent && code != classifier.WitnessLost {
+		return
+	}
+	w.client.keys.drop()
+	key, err := w.client.Key(ctx)
+	if err != nil {
+		return
+	}
+	w.request.Key = key
+	w.earlier = len(w.tried)
+}
+
 // wait sleeps for a random time that grows; it reports false if the context ended.
 func wait(ctx context.Context, retry int) bool {
 	d := backoff
--- a/pkg/caller/failure.go
+++ b/pkg/caller/failure.go
@@ -42,7 +42,7 @@
 	case classifier.EntryStopping, classifier.EntryStale, classifier.NotConfigured, classifier.NoUpstream,
 		classifier.UpstreamUnreachable, classifier.UpstreamRefused, classifier.ConnectionLost, classifier.AnswerTruncated,
 		classifier.EntryUnreachable, classifier.EntryLost, classifier.AnswerMalformed,
-		classifier.WitnessSilent, classifier.OwnerSilent, classifier.KeyInProgress:
+		classifier.WitnessSilent, classifier.WitnessLost, classifier.OwnerSilent, classifier.KeyInProgress:
 		return true
 	default:
 		return false
--- a/pkg/caller/keys.go
+++ b/pkg/caller/keys.go
@@ -38,6 +38,13 @@
 	return key, true
 }
 
+// drop forgets the unused keys; those of one batch are likely to share a witness.
+func (k *keyStore) drop() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.keys = nil
+}
+
 // Key returns an idempotency key that was never used; it fails with a Failure
 // whose outcome is NotRun if no entry issues one.
 func (c *Client) Key(ctx context.Context) (string, error) {
--- a/pkg/caller/send.go
+++ b/pkg/caller/send.go
@@ -52,7 +52,7 @@
 		return
 	}
 	req.Header.Set(headerKey, w.request.Key)
-	if w.fresh && len(w.tried) == 1 {
+	if w.fresh && len(w.tried) == w.earlier+1 {
 		req.Header.Set(headerAttempt, "1")
 	}
 }
