Carry evidence of a majority from peer to peer

Cause: with many entries no digest of fixed size can renew the rows of a majority within 2 s at every entry. Change: an Exchange carries the age of the sender's own evidence from peers; a receiver that knows no more entries than the sender counted adopts it. A starting entry adopts only evidence from after its start. Digests hold 16 rows, newest first but for 2 random ones. The sender's profile is sent only to addresses and in answer to that. A patch is accepted without the wait for silence if all known entries confirmed it; otherwise its majority has to be heard again after it was first seen.

--- a/internal/gossiper/evidence.go
+++ b/internal/gossiper/evidence.go
@@ -27,29 +27,60 @@
 	return out
 }
 
-// HeardMajority returns the latest time at or after which more than half of the
-// known entries were heard, or half of them with the lowest name among them;
-// zero if there is none. Starting entries do not count as heard, since they may
-// have forgotten a version that an earlier incarnation confirmed.
-func (v *View) HeardMajority(now time.Time) time.Time {
+// count returns the number of entries in Known.
+func (v *View) count() int {
+	count := 0
+	for _, e := range v.entries {
+		if e.State != Stopped {
+			count++
+		}
+	}
+	if !v.listRead {
+		count += len(v.unresolved())
+	}
+	return count
+}
+
+// Majority is evidence from more than half of a number of known entries.
+type Majority struct {
+	// At is a time at or after which they were heard; zero if there is no evidence.
+	At time.Time
+	// Known is the number of known entries.
+	Known int
+}
+
+// Majority returns the evidence in the view itself.
+func (v *View) Majority(now time.Time) Majority {
 	if v.get(v.self).State == Starting {
 		return v.heardByNew()
 	}
-	known := v.Known()
-	heard := make([]time.Time, 0, len(known))
-	for _, e := range known {
-		heard = append(heard, v.heardAt(now, e))
-	}
-	if len(known) == 0 {
-		return time.Time{}
+	return Majority{At: v.heardMajority(now), Known: v.count()}
+}
+
+// heardMajority returns the latest time at or after which more than half of the
+// known entries were heard, or half of them with the lowest name among them;
+// zero if there is none. Starting entries do not count as heard, since they may
+// have forgotten a version that an earlier incarnation confirmed.
+func (v *View) heardMajority(now time.Time) time.Time {
+	heard := make([]time.Time, v.count())
+	known := 0
+	for _, e := range v.entries {
+		if e.State != Stopped {
+			heard[known] = v.heardAt(now, e)
+			known++
+		}
 	}
 	lowest := heard[0]
+	if known < len(heard) {
+		// The name of an entry behind a seed may be the lowest one.
+		lowest = time.Time{}
+	}
 	slices.SortFunc(heard, newestFirst)
-	best := heard[len(known)/2]
-	if len(known)%2 != 0 {
+	best := heard[len(heard)/2]
+	if len(heard)%2 != 0 {
 		return best
 	}
-	half := heard[len(known)/2-1]
+	half := heard[len(heard)/2-1]
 	if lowest.Before(half) {
 		half = lowest
 	}
@@ -61,7 +92,7 @@
 
 func newestFirst(a, b time.Time) int { return b.Compare(a) }
 
-func (v *View) heardAt(now time.Time, e Entry) time.Time {
+func (v *View) heardAt(now time.Time, e *Entry) time.Time {
 	switch {
 	case e.State == Starting:
 		return time.Time{}
@@ -72,22 +103,21 @@
 	}
 }
 
-// heardByNew is HeardMajority for an entry that is starting. Such an entry may
+// heardByNew is Majority for an entry that is starting. Such an entry may
 // know too few others, so that it counts the largest number that a peer knows,
 // and it relies on no peer that is stale itself.
-func (v *View) heardByNew() time.Time {
-	known := 0
+func (v *View) heardByNew() Majority {
 	var heard []time.Time
-	for _, e := range v.Known() {
-		known++
-		if e.Name != v.self && e.State != Starting && !e.Stale {
+	for _, e := range v.entries {
+		if e.Name != v.self && (e.State == Alive || e.State == Leaving) && !e.Stale {
 			heard = append(heard, e.HeardAt)
 		}
 	}
-	need := max(known, v.peersKnow)/2 + 1
+	known := max(v.count(), v.peersKnow)
+	need := known/2 + 1
 	if len(heard) < need {
-		return time.Time{}
+		return Majority{}
 	}
 	slices.SortFunc(heard, newestFirst)
-	return heard[need-1]
+	return Majority{At: heard[need-1], Known: known}
 }
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -14,6 +14,11 @@
 // maxFirst bounds the rows of entries with a new state.
 const maxFirst = 4
 
+// randomRows is the number of rows left to chance. The newest rows carry the
+// evidence of a majority; in trials with 60 entries, a larger share of chance
+// left more entries without evidence.
+const randomRows = 2
+
 // maxSent bounds the send times that are remembered; an answer to an older message gives no evidence.
 const maxSent = 64
 
@@ -31,6 +36,8 @@
 	Next uint64
 	// LogAt is when the log's tail is known to have been read.
 	LogAt time.Time
+	// Majority is the sender's evidence from peers.
+	Majority Majority
 }
 
 // Target is where to send a message; Name is empty if it is meant for whoever has the address.
@@ -40,7 +47,7 @@
 	Address     netip.AddrPort
 }
 
-// Next chooses the peers to ask: a random one of the half that was heard least
+// Next chooses the peers to ask: a random one of the third that was heard least
 // recently and, every few rounds, one that is silent or only hinted at. A peer
 // that left the last message unanswered counts as silent at once, so that a
 // partition does not use up the rounds in which evidence has to be renewed.
@@ -50,7 +57,7 @@
 	slices.SortStableFunc(heard, func(a, b *Entry) int { return a.HeardAt.Compare(b.HeardAt) })
 	var out []Target
 	if len(heard) > 0 {
-		e := heard[random.IntN((len(heard)+1)/2)]
+		e := heard[random.IntN((len(heard)+2)/3)]
 		e.AskedAt = now
 		out = append(out, Target{Name: e.Name, Incarnation: e.Incarnation, Address: e.PeerAddress})
 	}
@@ -96,18 +103,15 @@
 	if len(v.sent) > maxSent {
 		v.sent = slices.Clone(v.sent[1:])
 	}
-	self := v.get(v.self)
 	m := Exchange{
-		Step: step, Sequence: v.sequence, Echo: echo, Known: uint16(min(len(v.Known()), math.MaxUint16)),
-		Top: v.top, Next: f.Next, LogAge: encodeAge(now, f.LogAt), Wanted: v.wanted,
+		Step: step, Sequence: v.sequence, Echo: echo, Known: uint16(min(f.Majority.Known, math.MaxUint16)),
+		Top: v.top, Next: f.Next, LogAge: encodeAge(now, f.LogAt), MajorityAge: encodeAge(now, f.Majority.At),
+		Wanted: v.wanted,
 	}
 	if e := v.get(to); e != nil {
 		m.You = e.State
 	}
-	m.Rows = []Row{v.row(now, self)}
-	if step != Close {
-		m.Profile = profile(self)
-	}
+	m.Rows = []Row{v.row(now, v.get(v.self))}
 	if step != Ask {
 		m.Rows = v.rows(now, random)
 	}
@@ -115,6 +119,9 @@
 	return m
 }
 
+// Profile returns that of the entry itself, for a peer that may not know it.
+func (v *View) Profile() Profile { return profile(v.get(v.self)) }
+
 // Profiles returns the profiles that a peer wants.
 func (v *View) Profiles(wanted []uint32) []Profile {
 	var out []Profile
@@ -146,7 +153,7 @@
 		}
 	}
 	chosen := append([]*Entry{v.get(v.self)}, first...)
-	newest := min(len(rest), (MaxRows-len(chosen)+1)/2)
+	newest := min(len(rest), MaxRows-randomRows-len(chosen))
 	slices.SortStableFunc(rest, func(a, b *Entry) int { return b.HeardAt.Compare(a.HeardAt) })
 	chosen = append(chosen, rest[:newest]...)
 	rest = rest[newest:]
@@ -165,10 +172,7 @@
 
 func (v *View) row(now time.Time, e *Entry) Row {
 	lag := min(v.top-e.Version, unknownLag)
-	return Row{
-		ID: e.id(), Age: encodeAge(now, e.HeardAt), State: e.State, Stale: e.Stale,
-		Lag: uint8(lag), InFlight: e.InFlight,
-	}
+	return Row{ID: e.id(), Age: encodeAge(now, e.HeardAt), State: e.State, Stale: e.Stale, Lag: uint8(lag), InFlight: e.InFlight}
 }
 
 // encodeAge rounds up, so that evidence never looks newer than it is.
@@ -209,6 +213,23 @@
 	return v.SentAt(m.Echo)
 }
 
+// MajorityAt returns the sender's evidence from peers. It holds for the receiver
+// too, who hears of all its members through the sender, if the sender knows at
+// least as many entries. A starting entry may not use evidence from before its
+// start, in which its earlier incarnation may have had a part.
+func (v *View) MajorityAt(m Exchange) Majority {
+	self := v.get(v.self)
+	at := decodeAge(v.base(m), m.MajorityAge)
+	known := v.count()
+	if self.State == Starting {
+		known = max(known, v.peersKnow)
+	}
+	if int(m.Known) < known || self.State == Starting && !at.After(self.KnownAt) {
+		return Majority{}
+	}
+	return Majority{At: at, Known: int(m.Known)}
+}
+
 // Take merges a message into the view.
 func (v *View) Take(now time.Time, m Exchange) {
 	base := v.base(m)
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -42,12 +42,15 @@
 	Sequence uint32
 	// Echo is the sequence of the message that this one answers.
 	Echo uint32
-	// Profile is that of the sender; its name is empty in Close.
+	// Profile is that of the sender in an Ask to an address and in the answer to
+	// it; its name is empty otherwise.
 	Profile Profile
 	// You is the state of the receiver in the sender's view.
 	You State
-	// Known is the number of entries that the sender counts for majorities.
+	// Known is the number of entries that the sender counted for its majority.
 	Known uint16
+	// MajorityAge is the age of the sender's evidence from peers, in units of 16 ms.
+	MajorityAge uint8
 	// Top is the highest configuration version heard of.
 	Top uint64
 	// Next is the offset up to which the sender has folded the configuration.
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -115,6 +115,9 @@
 	return v
 }
 
+// Begin notes when this incarnation started.
+func (v *View) Begin(now time.Time) { v.get(v.self).KnownAt = now }
+
 func (v *View) index(name string) (int, bool) {
 	return slices.BinarySearchFunc(v.entries, name, func(e *Entry, n string) int { return strings.Compare(e.Name, n) })
 }
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -25,6 +25,8 @@
 // membership is the node's part in the exchanges.
 type membership struct {
 	nextAt time.Time
+	// majority is the newest evidence from peers.
+	majority gossiper.Majority
 	// resumedAt is when the process last came out of a pause.
 	resumedAt time.Time
 	// silent holds the incarnations whose silence was reported.
@@ -50,11 +52,14 @@
 }
 
 func (n *Node) facts() gossiper.Facts {
-	return gossiper.Facts{Next: n.config.log.Folded(), LogAt: n.config.fresh.LogAt}
+	return gossiper.Facts{Next: n.config.log.Folded(), LogAt: n.config.fresh.LogAt, Majority: n.members.majority}
 }
 
 func (n *Node) ask(t gossiper.Target) {
 	m := n.view.Compose(n.now, gossiper.Ask, t.Name, 0, n.facts(), n.random)
+	if t.Name == "" {
+		m.Profile = n.view.Profile()
+	}
 	n.emit(Send{To: t.Name, Incarnation: t.Incarnation, Address: t.Address, Message: Exchange{m}})
 }
 
@@ -72,12 +77,12 @@
 }
 
 func (n *Node) exchange(from string, m Exchange) {
-	n.refresh()
 	n.view.Take(n.now, m.Exchange)
 	n.takeRecords(m.Records)
 	if n.config.log.Folded() >= m.Next {
 		n.config.fresh.LogAt = later(n.config.fresh.LogAt, n.view.LogAt(m.Exchange))
 	}
+	n.heardMajority(n.view.MajorityAt(m.Exchange))
 	n.refresh()
 	n.respond(from, m)
 	n.acknowledged(from, m.You)
@@ -94,6 +99,9 @@
 		return
 	}
 	out := n.view.Compose(n.now, step, from, m.Sequence, n.facts(), n.random)
+	if m.Step == gossiper.Ask && m.Profile.Name != "" {
+		out.Profile = n.view.Profile()
+	}
 	out.Profiles = n.view.Profiles(m.Wanted)
 	out.Records = n.delta(m.Next)
 	n.send(from, Exchange{out})
@@ -110,7 +118,7 @@
 	case f.BehindUntil.IsZero():
 		f.BehindUntil = n.now.Add(versioner.FetchPeriod)
 	}
-	f.PeersAt = later(f.PeersAt, n.view.HeardMajority(n.now))
+	n.heardMajority(n.view.Majority(n.now))
 	if n.state == gossiper.Starting && !behind && n.mayStart() {
 		n.state = gossiper.Alive
 	}
@@ -118,6 +126,13 @@
 	n.reportChanges()
 }
 
+func (n *Node) heardMajority(m gossiper.Majority) {
+	if m.At.After(n.members.majority.At) {
+		n.members.majority = m
+		n.config.fresh.PeersAt = m.At
+	}
+}
+
 // mayStart reports whether a starting entry has the current configuration: from
 // the log's tail, or from peers while it hears a majority of which it is no part.
 func (n *Node) mayStart() bool {
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -67,6 +67,7 @@
 // Start returns the effects that begin the node's work.
 func (n *Node) Start(now time.Time) []Effect {
 	n.now = now
+	n.view.Begin(now)
 	n.members.nextAt = now
 	n.members.resumedAt = now
 	n.readConfig()
--- a/internal/versioner/freshness.go
+++ b/internal/versioner/freshness.go
@@ -59,27 +59,35 @@
 
 // Waiting returns the entries that are still waited for; none if the version is
 // in force. The confirmations cover all known entries that have not stopped.
-// The majority has to be heard within the evidence period, since a restarted
-// entry no longer confirms what its earlier incarnation did.
+//
+// Silent entries need no confirmation once SilencePeriod has passed since a
+// majority confirmed: they then lack evidence or heard of the version. The
+// members of the majority have to be heard again after MajorityAt, since one
+// that restarted before may have forgotten the version.
 func (a *Acceptance) Waiting(now time.Time, known []Confirmation) []string {
-	var waiting []string
-	recent := 0
+	confirmed := 0
+	again := 0
 	for _, c := range known {
-		if c.Version >= a.Version && now.Sub(c.HeardAt) <= EvidencePeriod {
-			recent++
+		if c.Version < a.Version {
+			continue
+		}
+		confirmed++
+		if !a.MajorityAt.IsZero() && c.HeardAt.After(a.MajorityAt) {
+			again++
 		}
 	}
-	majority := 2*recent > len(known)
-	if majority && a.MajorityAt.IsZero() {
+	if confirmed == len(known) {
+		return nil
+	}
+	if a.MajorityAt.IsZero() && 2*confirmed > len(known) {
 		a.MajorityAt = now
 	}
 	silentBefore := now.Add(-SilencePeriod)
-	waited := !a.MajorityAt.IsZero() && a.MajorityAt.Before(silentBefore)
+	excused := 2*again > len(known) && !a.MajorityAt.After(silentBefore)
+	var waiting []string
 	for _, c := range known {
-		confirmed := c.Version >= a.Version
-		silent := waited && c.HeardAt.Before(silentBefore)
-		stillNeeded := !majority && now.Sub(c.HeardAt) > EvidencePeriod
-		if !confirmed && !silent || stillNeeded {
+		silent := excused && c.HeardAt.Before(silentBefore)
+		if c.Version < a.Version && !silent {
 			waiting = append(waiting, c.Name)
 		}
 	}
