Test evidence, acceptance, answers and audit buffer directly

Cause: trials with single faults put into a scratch copy showed that the reducer's tests miss some of them: an entry that names itself while stale, one that names stale entries, acceptance by exactly half, evidence of a peer with a smaller view, a newer version that is ignored.

--- a/internal/reducer/members_test.go
+++ b/internal/reducer/members_test.go
@@ -70,8 +70,10 @@
 				is.Equal(l.taking(), tt.taking)
 				l.run(100 * time.Millisecond)
 			}
-			for _, e := range l.ask(tt.taking[0]) {
-				is.True(slices.Contains(tt.taking, e.Name))
+			for _, name := range six {
+				answer := l.ask(name)
+				is.Equal(len(answer) > 0, slices.Contains(tt.taking, name))
+				is.True(!slices.ContainsFunc(answer, func(e EntryAddress) bool { return !slices.Contains(tt.taking, e.Name) }))
 			}
 			l.cut = func(string, string) bool { return false }
 			is.True(l.until(6*time.Second, func() bool { return len(l.taking()) == 6 }))
@@ -110,6 +112,12 @@
 	e, _ := l.nodes["a1"].node.view.Find("b1")
 	is.True(e.Incarnation > old)
 	is.Equal(l.taking(), six)
+	pending := len(l.queue)
+	late := Exchange{gossiper.Exchange{Profile: gossiper.Profile{Name: "b1", Incarnation: old}}}
+	l.step(l.nodes["a1"], func(s Stamp) Event {
+		return PeerMessageReceived{Stamp: s, From: "b1", FromIncarnation: old, Message: late}
+	})
+	is.Equal(len(l.queue), pending)
 	l.nodes["a1"].node.view.Put(gossiper.Entry{Name: "b1", Incarnation: old, State: gossiper.Stopped})
 	e, _ = l.nodes["a1"].node.view.Find("b1")
 	is.Equal(e.State, gossiper.Alive)
--- /dev/null
+++ b/internal/versioner/freshness_test.go
@@ -0,0 +1,58 @@
+package versioner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestFresh guards against work that is accepted on evidence that is too old or contradicted.
+func TestFresh(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	tests := []struct {
+		name  string
+		f     Freshness
+		fresh bool
+	}{
+		{"none", Freshness{}, false},
+		{"log", Freshness{LogAt: ago(EvidencePeriod - 1)}, true},
+		{"log too old", Freshness{LogAt: ago(EvidencePeriod)}, false},
+		{"peers", Freshness{LogAt: ago(time.Hour), PeersAt: ago(time.Second)}, true},
+		{"time to fetch", Freshness{LogAt: now, BehindUntil: now.Add(1)}, true},
+		{"newer version not fetched", Freshness{LogAt: now, PeersAt: now, BehindUntil: now}, false},
+	}
+	for _, tt := range tests {
+		is.New(t).Equal(tt.f.Fresh(now), tt.fresh) // fresh
+	}
+}
+
+// TestWaiting guards against acceptance while an entry without the version may still take work.
+func TestWaiting(t *testing.T) {
+	start := time.Unix(1000, 0)
+	late := start.Add(SilencePeriod)
+	entry := func(name string, version uint64, heardAt time.Time) Confirmation {
+		return Confirmation{Name: name, Version: version, HeardAt: heardAt}
+	}
+	tests := []struct {
+		name    string
+		now     time.Time
+		known   []Confirmation
+		waiting int
+	}{
+		{"all confirmed", start, []Confirmation{entry("a", 2, start), entry("b", 3, start)}, 0},
+		{"one silent, too early", late.Add(-1), []Confirmation{entry("a", 2, late), entry("b", 2, late), entry("c", 1, time.Time{})}, 1},
+		{"one silent", late, []Confirmation{entry("a", 2, late), entry("b", 2, late), entry("c", 1, time.Time{})}, 0},
+		{"one that runs without it", late, []Confirmation{entry("a", 2, late), entry("b", 2, late), entry("c", 1, start)}, 1},
+		{"half confirmed", late, []Confirmation{entry("a", 2, late), entry("b", 1, time.Time{})}, 1},
+		{"majority not heard again", late, []Confirmation{entry("a", 2, late), entry("b", 2, start), entry("c", 1, time.Time{})}, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			a := Acceptance{Version: 2}
+			a.Waiting(start, tt.known)
+			is.New(t).Equal(len(a.Waiting(tt.now, tt.known)), tt.waiting)
+		})
+	}
+}
