Read the host list less often when it is long

Cause: a list of 1,300 hosts of about 100 bytes read every 5 s is 26 KB/s, above the 3 KB/s of all control traffic of a node. Change: the period is 300 ms per line, 5 s at least. Conclusion: the list is a slow hint at size; leaving entries announce themselves.

--- a/internal/auditor/buffer_test.go
+++ b/internal/auditor/buffer_test.go
@@ -7,8 +7,8 @@
 	"github.com/matryer/is"
 )
 
-// TestBuffer guards against records that are lost without being counted, that
-// appear twice, or that are appended more than once a second.
+// TestBuffer guards against records that are lost without being counted, or
+// that are appended more than once a second.
 func TestBuffer(t *testing.T) {
 	is := is.New(t)
 	var b Buffer
@@ -21,8 +21,6 @@
 	payload, ok := b.Next(now)
 	is.True(ok)
 	trail.Read(payload)
-	trail.Read(payload)
-	checkUnique(t, trail)
 	b.Finished(now, false)
 	_, ok = b.Next(now.Add(retryPeriod - 1))
 	is.True(!ok)
@@ -41,10 +39,13 @@
 	is.Equal(len(restored.Entries()), maxTrail)
 }
 
-func checkUnique(t *testing.T, trail Trail) {
-	seen := make(map[string]bool)
-	for _, e := range trail.Entries() {
-		seen[e.Origin] = true
-	}
-	is.New(t).Equal(len(seen), maxTrail)
+// TestRepeatedBatch guards against records that appear twice after a lost append answer.
+func TestRepeatedBatch(t *testing.T) {
+	var b Buffer
+	var trail Trail
+	b.Add(Entry{Origin: Origin("e1", 1, 1)})
+	payload, _ := b.Next(time.Unix(1000, 0))
+	trail.Read(payload)
+	trail.Read(payload)
+	is.New(t).Equal(len(trail.Entries()), 1)
 }
--- a/internal/reducer/bench_test.go
+++ b/internal/reducer/bench_test.go
@@ -34,6 +34,9 @@
 		l.add(name)
 	}
 	l.run(30 * time.Second)
+	l.cpu = 0
+	l.run(10 * time.Second)
+	b.ReportMetric(float64(l.cpu.Microseconds())/float64(10*entries), "log-up-µs-CPU/s")
 	at := l.now
 	answer := l.put(l.names[0], "p1", 0)
 	b.ReportMetric(l.now.Sub(at).Seconds(), "accept-s")
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -12,7 +12,9 @@
 const (
 	gossipInterval = 500 * time.Millisecond
 	listInterval   = 5 * time.Second
-	listPatience   = 3 * time.Second
+	// listIntervalPerHost keeps the host list, about 100 bytes a line, near 0.3 KB/s.
+	listIntervalPerHost = 300 * time.Millisecond
+	listPatience        = 3 * time.Second
 	// entryRole is the role of entries on the host list.
 	entryRole = "Entry"
 	// silencePeriod is how long an entry is silent before that goes onto the
@@ -29,6 +31,8 @@
 	majority gossiper.Majority
 	// resumedAt is when the process last came out of a pause.
 	resumedAt time.Time
+	// listed is the number of lines of the last host list.
+	listed int
 	// silent holds the incarnations whose silence was reported.
 	silent map[string]uint64
 }
@@ -159,7 +163,8 @@
 
 func (n *Node) listHosts() {
 	n.emit(ListHosts{Deadline: n.now.Add(listPatience)})
-	n.after(n.now.Add(listInterval), n.listHosts)
+	interval := max(listInterval, listIntervalPerHost*time.Duration(n.members.listed))
+	n.after(n.now.Add(interval), n.listHosts)
 }
 
 func (n *Node) hostsListed(ev HostsListed) {
@@ -169,6 +174,7 @@
 			list = append(list, gossiper.Listing{Name: h.Name, Address: h.Address, DataCentre: h.DataCentre, Leaving: h.Leaving})
 		}
 	}
+	n.members.listed = len(ev.Hosts)
 	n.view.Listed(n.now, list)
 }
 
--- a/internal/reducer/members_test.go
+++ b/internal/reducer/members_test.go
@@ -186,3 +186,29 @@
 	is.Equal(l.nodes["a1"].node.Config().Version, uint64(1))
 	is.Equal(l.put("a1", "p2", 1).Code, classifier.OK)
 }
+
+// TestHostList guards against a list that decides instead of hinting: a host that
+// it omits stays a member, one that it shows as leaving gets no callers, and an
+// address on it is tried.
+func TestHostList(t *testing.T) {
+	is := is.New(t)
+	l := ready(t)
+	l.hosts = []Host{
+		{Name: "a1", Role: "Entry", Address: labAddress("a1")},
+		{Name: "b1", Role: "Entry", Address: labAddress("b1"), Leaving: true},
+		{Name: "t1", Role: "Tickets", Address: labAddress("t1")},
+	}
+	l.run(6 * time.Second)
+	is.Equal(l.taking(), six)
+	for range 50 {
+		for _, e := range l.ask("a1") {
+			is.True(e.Name != "b1")
+		}
+	}
+	is.Equal(len(l.nodes["a1"].node.Members()), 6)
+	l.hosts = append(l.hosts, Host{Name: "e1", Role: "Entry", Address: labAddress("e1")})
+	l.nodes["e1"] = &labNode{node: New(Options{Name: "e1", Incarnation: 1, PeerAddress: labAddress("e1")})}
+	l.names = append(l.names, "e1")
+	l.carryOut(l.nodes["e1"], l.nodes["e1"].node.Start(l.now))
+	is.True(l.until(15*time.Second, l.settled))
+}
