--- /dev/null
+++ b/internal/auditor/buffer_test.go
@@ -0,0 +1,51 @@
+package auditor
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestBuffer guards against records that are lost without being counted, or
+// that are appended more than once a second.
+func TestBuffer(t *testing.T) {
+	is := is.New(t)
+	var b Buffer
+	var trail Trail
+	now := time.Unix(1000, 0)
+	for i := range uint64(MaxBuffered + 3) {
+		b.Add(Entry{At: now, Origin: Origin("e1", 1, i)})
+	}
+	is.Equal(b.Lost(), uint64(3))
+	payload, ok := b.Next(now)
+	is.True(ok)
+	trail.Read(payload)
+	b.Finished(now, false)
+	_, ok = b.Next(now.Add(retryPeriod - 1))
+	is.True(!ok)
+	appends := 0
+	for ; !b.Empty(); now = now.Add(100 * time.Millisecond) {
+		if payload, ok := b.Next(now); ok {
+			appends++
+			trail.Read(payload)
+			b.Finished(now, true)
+		}
+	}
+	is.Equal(appends, MaxBuffered/maxBatch)
+	is.True(now.Sub(time.Unix(1000, 0)) >= retryPeriod+time.Duration(appends-1)*time.Second)
+	var restored Trail
+	restored.Restore(trail.Last(maxTrail))
+	is.Equal(len(restored.Entries()), maxTrail)
+}
+
+// TestRepeatedBatch guards against records that appear twice after a lost append answer.
+func TestRepeatedBatch(t *testing.T) {
+	var b Buffer
+	var trail Trail
+	b.Add(Entry{Origin: Origin("e1", 1, 1)})
+	payload, _ := b.Next(time.Unix(1000, 0))
+	trail.Read(payload)
+	trail.Read(payload)
+	is.New(t).Equal(len(trail.Entries()), 1)
+}
--- a/internal/reducer/members_test.go
+++ b/internal/reducer/members_test.go
@@ -70,8 +70,10 @@
 				is.Equal(l.taking(), tt.taking)
 				l.run(100 * time.Millisecond)
 			}
-			for _, e := range l.ask(tt.taking[0]) {
-				is.True(slices.Contains(tt.taking, e.Name))
+			for _, name := range six {
+				answer := l.ask(name)
+				is.Equal(len(answer) > 0, slices.Contains(tt.taking, name))
+				is.True(!slices.ContainsFunc(answer, func(e EntryAddress) bool { return !slices.Contains(tt.taking, e.Name) }))
 			}
 			l.cut = func(string, string) bool { return false }
 			is.True(l.until(6*time.Second, func() bool { return len(l.taking()) == 6 }))
@@ -110,20 +112,28 @@
 	e, _ := l.nodes["a1"].node.view.Find("b1")
 	is.True(e.Incarnation > old)
 	is.Equal(l.taking(), six)
+	pending := len(l.queue)
+	late := Exchange{gossiper.Exchange{Profile: gossiper.Profile{Name: "b1", Incarnation: old}}}
+	l.step(l.nodes["a1"], func(s Stamp) Event {
+		return PeerMessageReceived{Stamp: s, From: "b1", FromIncarnation: old, Message: late}
+	})
+	is.Equal(len(l.queue), pending)
 	l.nodes["a1"].node.view.Put(gossiper.Entry{Name: "b1", Incarnation: old, State: gossiper.Stopped})
 	e, _ = l.nodes["a1"].node.view.Find("b1")
 	is.Equal(e.State, gossiper.Alive)
 }
 
 // TestStop guards against a planned stop that refuses, drops or attracts work:
-// answers are obeyed until they expire, and a request takes up to 900 ms.
+// answers are obeyed until they expire, and a request takes 3.9 s.
 func TestStop(t *testing.T) {
 	is := is.New(t)
 	l := ready(t)
-	l.work = 900 * time.Millisecond
+	l.work = 3900 * time.Millisecond
 	n := l.nodes["a1"]
 	l.step(n, func(s Stamp) Event { return StopRequested{s} })
+	began := l.now
 	asked := l.now
+	l.nodes["d1"].paused = true
 	var sent []RequestID
 	for len(n.stops) == 0 {
 		answer := l.ask("b1")
@@ -136,6 +146,7 @@
 		l.run(50 * time.Millisecond)
 	}
 	is.Equal(n.stops, []StopPhase{StopListening})
+	is.True(l.now.Sub(began) >= 7*time.Second) // a silent peer may name the entry for 2 s
 	l.request("a1")
 	is.Equal(l.refused[l.nextID].Code, classifier.EntryStopping)
 	is.True(l.until(5*time.Second, func() bool { return n.dead }))
@@ -175,3 +186,29 @@
 	is.Equal(l.nodes["a1"].node.Config().Version, uint64(1))
 	is.Equal(l.put("a1", "p2", 1).Code, classifier.OK)
 }
+
+// TestHostList guards against a list that decides instead of hinting: a host that
+// it omits stays a member, one that it shows as leaving gets no callers, and an
+// address on it is tried.
+func TestHostList(t *testing.T) {
+	is := is.New(t)
+	l := ready(t)
+	l.hosts = []Host{
+		{Name: "a1", Role: "Entry", Address: labAddress("a1")},
+		{Name: "b1", Role: "Entry", Address: labAddress("b1"), Leaving: true},
+		{Name: "t1", Role: "Tickets", Address: labAddress("t1")},
+	}
+	l.run(6 * time.Second)
+	is.Equal(l.taking(), six)
+	for range 50 {
+		for _, e := range l.ask("a1") {
+			is.True(e.Name != "b1")
+		}
+	}
+	is.Equal(len(l.nodes["a1"].node.Members()), 6)
+	l.hosts = append(l.hosts, Host{Name: "e1", Role: "Entry", Address: labAddress("e1")})
+	l.nodes["e1"] = &labNode{node: New(Options{Name: "e1", Incarnation: 1, PeerAddress: labAddress("e1")})}
+	l.names = append(l.names, "e1")
+	l.carryOut(l.nodes["e1"], l.nodes["e1"].node.Start(l.now))
+	is.True(l.until(15*time.Second, l.settled))
+}
