Test the driver's failures on real sockets

Cause: no failure of sockets was tested. Change: tests of once-only requests on lost and closing connections, silent and quiet connections, broken answers, slow and huge bodies, hang-ups, memory, panics, an outage of the log, two entries, planned and second stop, probes, connection limits and administration. Three faults that they showed are fixed: a held answer that broke off counted as cancelled instead of truncated; fresh connections starved while kept ones were busy; a caller's connection outlived Close by up to 0.5 s. Close of the stand-ins waits for their handlers too.

--- a/internal/driver/answer.go
+++ b/internal/driver/answer.go
@@ -54,7 +54,7 @@
 
 // write gives a reply to the caller and returns the code to count.
 func (d *Driver) write(w http.ResponseWriter, r *http.Request, rep reply) classifier.Code {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(progressPatience))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d.progress))
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -127,13 +127,13 @@
 // copyRest gives each piece a deadline of its own on both sides.
 func (d *Driver) copyRest(w http.ResponseWriter, a *answer) error {
 	control := http.NewResponseController(w)
-	stuck := time.AfterFunc(progressPatience, a.attempt.cancel)
+	stuck := time.AfterFunc(d.progress, a.attempt.cancel)
 	defer stuck.Stop()
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := a.rest.Read(buf)
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(progressPatience))
+			_ = control.SetWriteDeadline(time.Now().Add(d.progress))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return werr
 			}
@@ -149,7 +149,7 @@
 				return ferr
 			}
 		}
-		stuck.Reset(progressPatience)
+		stuck.Reset(d.progress)
 	}
 }
 
--- a/internal/driver/body.go
+++ b/internal/driver/body.go
@@ -112,13 +112,14 @@
 // a slow sender holds nothing for long while a long upload may go on.
 type callerBody struct {
 	io.Reader
-	control *http.ResponseController
-	failure atomic.Pointer[error]
+	control  *http.ResponseController
+	patience time.Duration
+	failure  atomic.Pointer[error]
 }
 
 // Read reads and keeps the first failure.
 func (b *callerBody) Read(p []byte) (int, error) {
-	_ = b.control.SetReadDeadline(time.Now().Add(progressPatience))
+	_ = b.control.SetReadDeadline(time.Now().Add(b.patience))
 	n, err := b.Reader.Read(p)
 	if err != nil {
 		// The server watches for a hang-up by reading, which must not time out.
@@ -160,7 +161,7 @@
 	}
 	c.upload = &callerBody{
 		Reader:  http.MaxBytesReader(w, r.Body, rank.MaxBody),
-		control: http.NewResponseController(w),
+		control: http.NewResponseController(w), patience: d.progress,
 	}
 	c.held.memory = &d.memory
 	if !c.onceOnly && (r.ContentLength < 0 || r.ContentLength > maxReplayable) {
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -26,6 +26,8 @@
 	lister  recorder.Lister
 	metrics *metrics
 	memory  memory
+	// progress is progressPatience.
+	progress time.Duration
 
 	peerListener net.Listener
 	certificates *messenger.Certificates
@@ -77,6 +79,7 @@
 		log:      log,
 		lister:   lister,
 		memory:   memory{limit: maxMemory},
+		progress: progressPatience,
 		node:     reducer.New(o),
 		calls:    make(map[reducer.RequestID]*call),
 		attempts: make(map[reducer.AttemptID]*attempt),
--- a/internal/driver/life.go
+++ b/internal/driver/life.go
@@ -28,6 +28,7 @@
 		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxCallerHeaders,
 		ErrorLog:          zap.NewStdLog(d.logger),
+		ConnState:         d.connState,
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -43,6 +44,17 @@
 	})
 }
 
+// connState makes Close wait for the connections' goroutines, which may
+// linger after their handlers. A new connection is counted while Serve is.
+func (d *Driver) connState(_ net.Conn, s http.ConnState) {
+	switch s {
+	case http.StateNew:
+		d.work.Add(1)
+	case http.StateClosed:
+		d.work.Done()
+	}
+}
+
 // Stop begins a planned stop, after which Done is closed; a second call ends all work at once.
 func (d *Driver) Stop() {
 	if d.stopping.Swap(true) {
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -16,6 +16,8 @@
 	dialPatience     = time.Second
 	idlePatience     = time.Minute
 	maxAnswerHeaders = 64 << 10
+	// retryIdle is how often a fresh connection looks for an idle one to replace.
+	retryIdle = time.Millisecond
 )
 
 // limiter bounds the connections to one upstream.
@@ -55,6 +57,12 @@
 	return l.freed, false
 }
 
+func (l *limiter) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
 func (l *limiter) release() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -77,12 +85,19 @@
 func newPool(connections int) *pool {
 	p := &pool{limiter: limiter{limit: connections}}
 	p.kept = p.transport(p.dial)
-	p.kept.MaxConnsPerHost = connections
+	p.kept.MaxConnsPerHost = keptShare(connections)
 	p.fresh = p.transport(p.dialFresh)
 	p.fresh.DisableKeepAlives = true
 	return p
 }
 
+// keptShare leaves places for fresh connections, which would otherwise wait
+// for as long as requests queue for the kept ones.
+func keptShare(connections int) int {
+	const freshShare = 8
+	return max(1, connections-(connections+freshShare-1)/freshShare)
+}
+
 func (p *pool) transport(dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
 	return &http.Transport{
 		DialContext:            dial,
@@ -108,12 +123,17 @@
 	return newConn(c, p.limiter.release), nil
 }
 
-// dialFresh gives up idle connections if they take all places.
+// dialFresh gives up idle connections as long as all places are taken.
 func (p *pool) dialFresh(ctx context.Context, network, address string) (net.Conn, error) {
-	if _, ok := p.limiter.try(); ok {
-		p.limiter.release()
-	} else {
+	again := time.NewTicker(retryIdle)
+	defer again.Stop()
+	for deadline := time.Now().Add(dialPatience); p.limiter.count() >= p.limiter.limit && time.Now().Before(deadline); {
 		p.kept.CloseIdleConnections()
+		select {
+		case <-again.C:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
 	}
 	return p.dial(ctx, network, address)
 }
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -86,8 +86,10 @@
 	case errors.Is(err, io.EOF):
 		ans.whole = true
 	case err != nil && !errors.Is(err, errMemory):
+		// Closing the answer cancels the attempt, which would hide the cause.
+		failure := truncation(failureOf(e, a, true))
 		ans.close()
-		d.failed(e, a, truncation(failureOf(e, a, true)), true)
+		d.failed(e, a, failure, true)
 		return
 	}
 	d.answered(e, ans)
--- a/internal/faker/server.go
+++ b/internal/faker/server.go
@@ -19,6 +19,7 @@
 	listener net.Listener
 	http     *http.Server
 	done     chan struct{}
+	work     sync.WaitGroup
 
 	mu             sync.Mutex
 	open           map[*conn]bool
@@ -48,6 +49,7 @@
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
+		ConnState: s.connState,
 	}
 	if c, ok := h.(connected); ok {
 		c.attach(s)
@@ -99,10 +101,21 @@
 // Done is closed once the server accepts no more connections.
 func (s *Server) Done() <-chan struct{} { return s.done }
 
-// Close ends the server and its connections at once, in the midst of answers if there are any.
+// Close ends the server and its connections at once, in the midst of answers
+// if there are any, and waits for the handlers.
 func (s *Server) Close() {
 	_ = s.http.Close()
 	<-s.done
+	s.work.Wait()
+}
+
+func (s *Server) connState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.work.Add(1)
+	case http.StateClosed:
+		s.work.Done()
+	}
 }
 
 // add reports false if the connection exceeds the limit.
