Forget removed upstreams and bound every write to callers

Cause: pools and series of replaced upstreams piled up; refusals before a rank was known were written without a bound. Change: a new configuration retires the pools of upstreams that it lacks and drops their series; all writes go through one bound; a limit of 0 connections counts as 1.

--- a/internal/driver/answer.go
+++ b/internal/driver/answer.go
@@ -54,7 +54,7 @@
 
 // write gives a reply to the caller and returns the code to count.
 func (d *Driver) write(w http.ResponseWriter, r *http.Request, rep reply) classifier.Code {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d.progress))
+	d.limitWrite(w)
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -75,6 +75,11 @@
 	return classifier.OK
 }
 
+// limitWrite bounds the next write, so that a caller that does not read holds nothing for long.
+func (d *Driver) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d.progress))
+}
+
 func (d *Driver) writeAnswer(w http.ResponseWriter, r *http.Request, a *answer) {
 	h := w.Header()
 	copyHeaders(h, a.header)
--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -64,6 +64,7 @@
 	case path == "/keys" && r.Method == http.MethodGet:
 		d.serveKeys(w, r)
 	default:
+		d.limitWrite(w)
 		http.NotFound(w, r)
 	}
 }
@@ -86,7 +87,8 @@
 	c := &call{request: r, service: service, rawPath: "/" + path, reply: make(chan reply, 1)}
 	rank, code := d.rank(service, name)
 	if code != classifier.OK {
-		d.refuse(w, "", "", begun, code)
+		d.write(w, r, refuseRequest(code))
+		d.metrics.count("", "", code, begun)
 		return
 	}
 	d.metrics.inFlight.Inc()
@@ -164,11 +166,6 @@
 	return d.node.Rank(service, name)
 }
 
-func (d *Driver) refuse(w http.ResponseWriter, service, rank string, begun time.Time, code classifier.Code) {
-	writeRefusal(w, refuseRequest(code).Refuse)
-	d.metrics.count(service, rank, code, begun)
-}
-
 func (d *Driver) arrive(c *call, rank patcher.Rank, deadline time.Time) reducer.RequestID {
 	h := c.request.Header
 	ev := reducer.RequestArrived{
--- a/internal/driver/failure_test.go
+++ b/internal/driver/failure_test.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/azuretrestle/azuretrestle/internal/faker"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/internal/versioner"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
 // TestCallerHangsUp guards against work that goes on for a caller who left,
@@ -307,6 +309,24 @@
 	is.True(p.limiter.count() <= limit)
 }
 
+// TestRemovedUpstream guards against connections and series that pile up as hosts are replaced.
+func TestRemovedUpstream(t *testing.T) {
+	b := newBench(t, 1, nil)
+	b.is.Equal(b.do(http.MethodGet, "/call/S/Lookup/x", nil).status, http.StatusOK)
+	a, err := b.driver.Submit(context.Background(), patcher.Patch{ID: "q", Base: 1, Operations: []patcher.Operation{
+		patcher.RemoveUpstream{InService: "S", Name: "u0"},
+	}})
+	b.is.NoErr(err)
+	b.is.Equal(a.Code, classifier.OK)
+	// The verdict is handed over before the step that made it has ended.
+	b.driver.View(func(*reducer.Node) {})
+	b.is.Equal(seriesOf(b.driver.metrics.attempts), 0)
+	for deadline := time.Now().Add(patience); b.servers[0].Open() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	b.is.Equal(b.servers[0].Open(), 0)
+}
+
 // TestAdmin guards against metrics, health or readiness that do not follow the state.
 func TestAdmin(t *testing.T) {
 	b := newBench(t, 1, (&stopper{}).watch)
@@ -338,3 +358,9 @@
 	code, _ = get("/healthz")
 	b.is.Equal(code, http.StatusOK)
 }
+
+func seriesOf(c prometheus.Collector) int {
+	ch := make(chan prometheus.Metric, 100)
+	c.Collect(ch)
+	return len(ch)
+}
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -99,6 +99,11 @@
 	m.attempts.WithLabelValues(service, upstream, results[f]).Inc()
 }
 
+// forget drops the series of an upstream, since replaced hosts would add up.
+func (m *metrics) forget(service, upstream string) {
+	m.attempts.DeletePartialMatch(prometheus.Labels{"service": service, "upstream": upstream})
+}
+
 func (m *metrics) probe(service string, ok bool, begun time.Time) {
 	m.probes.WithLabelValues(service, strconv.FormatBool(ok)).Inc()
 	m.probeSeconds.WithLabelValues(service).Add(time.Since(begun).Seconds())
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -75,7 +75,9 @@
 
 // pool holds the connections to one upstream under one limit.
 type pool struct {
-	limiter limiter
+	// upstream is the name under which the attempts are counted.
+	upstream string
+	limiter  limiter
 	// kept reuses connections, fresh opens one for each request.
 	kept    *http.Transport
 	fresh   *http.Transport
@@ -165,14 +167,16 @@
 // effect by a new pool, while requests in progress finish on the old one.
 func (d *Driver) pool(e reducer.Dispatch, address string) *pool {
 	key := poolKey{e.Service, address}
+	connections := max(1, e.Connections)
 	p, ok := d.pools[key]
-	if ok && p.limiter.limit == e.Connections {
+	if ok && p.limiter.limit == connections {
 		return p
 	}
 	if ok {
 		p.retire()
 	}
-	p = newPool(e.Connections)
+	p = newPool(connections)
+	p.upstream = e.Upstream
 	d.pools[key] = p
 	return p
 }
@@ -189,6 +193,7 @@
 		if !keep[key] {
 			p.retire()
 			delete(d.pools, key)
+			d.metrics.forget(key.service, p.upstream)
 		}
 	}
 }
