Measure added latency with pauses between calls too

Cause: closed loops without pauses saturate the shared machine by themselves. Change: a third case of BenchmarkAddedLatency pauses 2 ms after each call.

--- a/internal/driver/bench_test.go
+++ b/internal/driver/bench_test.go
@@ -54,9 +54,9 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
-// drive sends n requests from the given number of workers and returns the
+// drive sends n requests from the given number of workers, which pause for gap after each, and returns the
 // latencies and the processor time of the whole process per request.
-func drive(b *testing.B, url string, n, workers int) (*hdrhistogram.Histogram, time.Duration) {
+func drive(b *testing.B, url string, n, workers int, gap time.Duration) (*hdrhistogram.Histogram, time.Duration) {
 	b.Helper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: workers}}
 	defer client.CloseIdleConnections()
@@ -81,6 +81,7 @@
 					return
 				}
 				_ = own.RecordValue(int64(time.Since(start)))
+				time.Sleep(gap)
 			}
 			mu.Lock()
 			h.Merge(own)
@@ -95,23 +96,26 @@
 // be held against the target of 0.42 ms added for 99 in 100. Short turns
 // alternate, so that other load on the machine meets both alike.
 func BenchmarkAddedLatency(b *testing.B) {
-	for _, workers := range []int{1, 8} {
-		b.Run(fmt.Sprint("workers=", workers), func(b *testing.B) {
+	for _, c := range []struct {
+		workers int
+		gap     time.Duration
+	}{{1, 0}, {8, 0}, {8, 2 * time.Millisecond}} {
+		b.Run(fmt.Sprint("workers=", c.workers, ",gap=", c.gap), func(b *testing.B) {
 			entry, upstream := benchEntry(b, 4)
 			const turns, perTurn = 20, 800
 			direct, through := hdrhistogram.New(1, int64(10*time.Second), 3), hdrhistogram.New(1, int64(10*time.Second), 3)
 			var cpuDirect, cpuThrough time.Duration
 			entryURL := "http://" + entry + "/call/Tickets/Lookup/suppliers/7"
 			upstreamURL := "http://" + upstream + "/suppliers/7"
-			drive(b, entryURL, perTurn, workers)
+			drive(b, entryURL, perTurn, c.workers, c.gap)
 			for b.Loop() {
 				for range turns {
-					h, c := drive(b, upstreamURL, perTurn, workers)
+					h, used := drive(b, upstreamURL, perTurn, c.workers, c.gap)
 					direct.Merge(h)
-					cpuDirect += c
-					h, c = drive(b, entryURL, perTurn, workers)
+					cpuDirect += used
+					h, used = drive(b, entryURL, perTurn, c.workers, c.gap)
 					through.Merge(h)
-					cpuThrough += c
+					cpuThrough += used
 				}
 			}
 			report := func(name string, v int64) { b.ReportMetric(float64(v)/1000, name) }
