--- a/internal/driver/answer.go
+++ b/internal/driver/answer.go
@@ -54,7 +54,7 @@
 
 // write gives a reply to the caller and returns the code to count.
 func (d *Driver) write(w http.ResponseWriter, r *http.Request, rep reply) classifier.Code {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(progressPatience))
+	d.limitWrite(w)
 	if d.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -75,6 +75,11 @@
 	return classifier.OK
 }
 
+// limitWrite bounds the next write, so that a caller that does not read holds nothing for long.
+func (d *Driver) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(d.progress))
+}
+
 func (d *Driver) writeAnswer(w http.ResponseWriter, r *http.Request, a *answer) {
 	h := w.Header()
 	copyHeaders(h, a.header)
@@ -127,13 +132,13 @@
 // copyRest gives each piece a deadline of its own on both sides.
 func (d *Driver) copyRest(w http.ResponseWriter, a *answer) error {
 	control := http.NewResponseController(w)
-	stuck := time.AfterFunc(progressPatience, a.attempt.cancel)
+	stuck := time.AfterFunc(d.progress, a.attempt.cancel)
 	defer stuck.Stop()
 	buf := make([]byte, copyBuffer)
 	for {
 		n, err := a.rest.Read(buf)
 		if n > 0 {
-			_ = control.SetWriteDeadline(time.Now().Add(progressPatience))
+			_ = control.SetWriteDeadline(time.Now().Add(d.progress))
 			if _, werr := w.Write(buf[:n]); werr != nil {
 				return werr
 			}
@@ -149,7 +154,7 @@
 				return ferr
 			}
 		}
-		stuck.Reset(progressPatience)
+		stuck.Reset(d.progress)
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -27,6 +27,8 @@
 	lister  recorder.Lister
 	metrics *metrics
 	memory  memory
+	// progress is progressPatience.
+	progress time.Duration
 
 	peerListener net.Listener
 	certificates *messenger.Certificates
@@ -79,6 +81,7 @@
 		log:      log,
 		lister:   lister,
 		memory:   memory{limit: maxMemory},
+		progress: progressPatience,
 		node:     reducer.New(o),
 		calls:    make(map[reducer.RequestID]*call),
 		attempts: make(map[reducer.AttemptID]*attempt),
