--- a/internal/faker/faker_test.go
+++ b/internal/faker/faker_test.go
@@ -143,6 +143,27 @@
 	is.Equal(status, 200)
 }
 
+// TestUpstreamSwitches guards against the switches that no single answer shows.
+func TestUpstreamSwitches(t *testing.T) {
+	is := is.New(t)
+	u := &Upstream{Slots: 1, Cold: time.Hour, ColdFactor: 5}
+	s, client, base := start(t, u)
+	status, _, _ := call(client, http.MethodGet, base+"/health", "")
+	is.Equal(status, 200)
+	status, _, _ = call(client, http.MethodPost, base+"/control", `{"Unhealthy":true,"MaxConnections":1,"Chill":true}`)
+	is.Equal(status, 200)
+	status, _, _ = call(client, http.MethodGet, base+"/health", "")
+	is.Equal(status, 503)
+	other := &http.Client{Transport: &http.Transport{}, Timeout: 5 * time.Second}
+	defer other.CloseIdleConnections()
+	status, _, _ = call(other, http.MethodGet, base+"/health", "")
+	is.Equal(status, 0)
+	is.Equal(s.Open(), 1)
+	now := time.Now()
+	is.True(u.chill(now) > 4.9)
+	is.Equal(u.chill(now.Add(2*time.Hour)), 1.0)
+}
+
 // TestLog guards against log faults that do nothing or lose records that were taken.
 func TestLog(t *testing.T) {
 	is := is.New(t)
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -56,6 +56,8 @@
 	work    sync.WaitGroup
 	slots   chan struct{}
 	counts  counters
+	// idle is idleAfter.
+	idle time.Duration
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -86,7 +88,7 @@
 		o.Logger = zap.NewNop()
 	}
 	m := &Messenger{
-		Options: o, handler: h,
+		Options: o, handler: h, idle: idleAfter,
 		slots:   make(chan struct{}, maxIncoming),
 		peers:   make(map[string]*peer),
 		reports: make(map[string]bool),
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -116,6 +116,26 @@
 	is.Equal(next(t, in.unreachable), "c")
 }
 
+// TestIdle guards against connections kept to peers that nothing is sent to,
+// and against a message that is lost or reported as the connection closes.
+func TestIdle(t *testing.T) {
+	is := is.New(t)
+	a, in, _ := start(t, "a", 1, nil)
+	a.idle = 5 * time.Millisecond
+	_, got, address := start(t, "b", 1, nil)
+	for i := range uint64(20) {
+		a.Send(reducer.Send{To: "b", Address: address, Message: request(i)})
+		is.Equal(next(t, got.messages).message, request(i))
+		time.Sleep(time.Duration(i%3) * a.idle)
+	}
+	deadline := time.Now().Add(patience)
+	for a.Stats().Peers > 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(a.Stats().Peers, 0)
+	is.Equal(len(in.unreachable), 0)
+}
+
 // TestPeerDoesNotRead guards against a sender that blocks or grows without
 // bound because a peer keeps its connection open but reads nothing.
 func TestPeerDoesNotRead(t *testing.T) {
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -74,13 +74,13 @@
 // run sends what is queued until the peer has been idle for some time.
 func (p *peer) run() {
 	defer p.disconnect()
-	idle := time.NewTimer(idleAfter)
+	idle := time.NewTimer(p.messenger.idle)
 	defer idle.Stop()
 	for {
 		select {
 		case <-p.wake:
 			p.drain()
-			idle.Reset(idleAfter)
+			idle.Reset(p.messenger.idle)
 		case <-p.closed():
 			// The peer may not have read what was written last.
 			p.disconnect()
@@ -89,7 +89,7 @@
 			if p.retire() {
 				return
 			}
-			idle.Reset(idleAfter)
+			idle.Reset(p.messenger.idle)
 		case <-p.messenger.ctx.Done():
 			return
 		}
