--- a/internal/driver/effect_test.go
+++ b/internal/driver/effect_test.go
@@ -163,10 +163,7 @@
 	// The verdict is handed over before the step that made it has ended.
 	b.driver.View(func(*reducer.Node) {})
 	b.is.Equal(seriesOf(b.driver.metrics.attempts), 0)
-	for deadline := time.Now().Add(patience); b.servers[0].Open() > 0 && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
-	b.is.Equal(b.servers[0].Open(), 0)
+	b.until(func() bool { return b.servers[0].Open() == 0 })
 }
 
 // TestAdmin guards against metrics, health or readiness that do not follow the state.
--- a/internal/driver/failure_test.go
+++ b/internal/driver/failure_test.go
@@ -33,17 +33,12 @@
 			b.is.NoErr(err)
 			_, err = io.WriteString(c, "GET /call/S/Lookup/x HTTP/1.1\r\nHost: e\r\n\r\n")
 			b.is.NoErr(err)
-			for b.upstreams[0].State().Executed == 0 {
-				time.Sleep(time.Millisecond)
-			}
+			b.until(func() bool { return b.upstreams[0].State().Executed > 0 })
 			b.is.NoErr(c.Close())
 			waitFor[reducer.CallerGone](b)
 			ev, ok := last[reducer.UpstreamFinished](b)
 			b.is.True(!ok || !ev.Truncated)
-			for deadline := time.Now().Add(patience); b.upstreams[0].State().Load != (faker.Load{}) && time.Now().Before(deadline); {
-				time.Sleep(time.Millisecond)
-			}
-			b.is.Equal(b.upstreams[0].State().Load, faker.Load{})
+			b.until(func() bool { return b.upstreams[0].State().Load == faker.Load{} })
 		})
 	}
 }
@@ -98,10 +93,7 @@
 	b.upstreams[0].Mean = time.Hour
 	r := b.do(http.MethodGet, "/call/S/Lookup/x", nil)
 	b.is.Equal(r.body, "u1 GET /x 0\n")
-	for deadline := time.Now().Add(patience); b.upstreams[0].State().Load != (faker.Load{}) && time.Now().Before(deadline); {
-		time.Sleep(time.Millisecond)
-	}
-	b.is.Equal(b.upstreams[0].State().Load, faker.Load{})
+	b.until(func() bool { return b.upstreams[0].State().Load == faker.Load{} })
 	waitFor[reducer.AttemptFailed](b)
 }
 
@@ -234,9 +226,7 @@
 	b.upstreams[0].Mean = time.Hour
 	ended := make(chan result, 1)
 	go func() { ended <- b.do(http.MethodGet, "/call/S/Lookup/x", nil) }()
-	for b.upstreams[0].State().Executed == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	b.until(func() bool { return b.upstreams[0].State().Executed > 0 })
 	b.driver.Stop()
 	begun := time.Now()
 	b.driver.Stop()
--- a/internal/driver/internal_test.go
+++ b/internal/driver/internal_test.go
@@ -158,17 +158,25 @@
 }
 
 func waitFor[E reducer.Event](b *bench) E {
+	b.Helper()
+	var ev E
+	b.until(func() (ok bool) {
+		ev, ok = last[E](b)
+		return ok
+	})
+	return ev
+}
+
+// until fails the test unless the condition comes to hold.
+func (b *bench) until(condition func() bool) {
 	b.Helper()
 	deadline := time.Now().Add(patience)
-	ev, ok := last[E](b)
-	for !ok && time.Now().Before(deadline) {
+	for !condition() {
+		if time.Now().After(deadline) {
+			b.Fatal("condition did not come to hold")
+		}
 		time.Sleep(time.Millisecond)
-		ev, ok = last[E](b)
 	}
-	if !ok {
-		b.Fatalf("no %T came", ev)
-	}
-	return ev
 }
 
 // TestOnceOnlyIsSentOnce guards against net/http sending a once-only request
