Ask entries directly for the version of a pending patch

Cause: with 60 entries, digests told the last confirmation only after 5.5 s of the 6 s that a patch may wait. Change: in each round, an entry with an accepted patch asks up to 8 of the entries that have not confirmed. The benchmark waits 2 min for all entries to join, since at 240 it measured the discovery of names.

--- a/internal/reducer/bench_test.go
+++ b/internal/reducer/bench_test.go
@@ -7,8 +7,6 @@
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-
-	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
 // BenchmarkMembership gives the slopes of control traffic by number of entries:
@@ -33,10 +31,10 @@
 	for _, name := range l.names {
 		l.add(name)
 	}
-	l.run(30 * time.Second)
-	l.cpu = 0
-	l.run(10 * time.Second)
-	b.ReportMetric(float64(l.cpu.Microseconds())/float64(10*entries), "log-up-µs-CPU/s")
+	l.run(2 * time.Minute)
+	up := l.measure(10)
+	b.ReportMetric(up.cpu, "log-up-µs-CPU/s")
+	b.ReportMetric(up.idle, "log-up-idle")
 	at := l.now
 	answer := l.put(l.names[0], "p1", 0)
 	b.ReportMetric(l.now.Sub(at).Seconds(), "accept-s")
@@ -44,27 +42,33 @@
 	b.ReportMetric(float64(liveBytes()-before)/float64(entries), "heap-B/node")
 	l.log.down = true
 	l.run(5 * time.Second)
+	down := l.measure(20)
+	b.ReportMetric(down.bytes, "wire-B/s")
+	b.ReportMetric(down.cpu, "µs-CPU/s")
+	b.ReportMetric(down.suspected, "suspected")
+	b.ReportMetric(down.idle, "idle")
+}
+
+// load is the mean of the nodes: bytes and µs a second, and shares of the time.
+type load struct{ bytes, cpu, suspected, idle float64 }
+
+func (l *lab) measure(seconds int) load {
 	l.sent = 0
 	l.cpu = 0
-	suspected, idle, samples := 0, 0, 0
-	const seconds = 20
+	suspected, idle := 0, 0
+	entries := len(l.names)
 	for range seconds {
 		l.run(time.Second)
 		for _, name := range l.names {
-			n := l.nodes[name].node
-			n.now = l.now
-			samples++
-			suspected += entries - len(n.view.Alive(l.now))
-			if n.refusal() != classifier.OK {
-				idle++
-			}
+			suspected += entries - len(l.nodes[name].node.view.Alive(l.now))
 		}
+		idle += entries - len(l.taking())
+	}
+	samples := float64(entries * seconds)
+	return load{
+		bytes: 2 * float64(l.sent) / samples, cpu: float64(l.cpu.Microseconds()) / samples,
+		suspected: float64(suspected) / samples / float64(entries), idle: float64(idle) / samples,
 	}
-	nodeSeconds := float64(entries * seconds)
-	b.ReportMetric(2*float64(l.sent)/nodeSeconds, "wire-B/s")
-	b.ReportMetric(float64(l.cpu.Microseconds())/nodeSeconds, "µs-CPU/s")
-	b.ReportMetric(float64(suspected)/float64(samples*entries), "suspected")
-	b.ReportMetric(float64(idle)/float64(samples), "idle")
 }
 
 func liveBytes() uint64 {
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -52,6 +52,7 @@
 	}
 	n.fetch()
 	n.settle()
+	n.confirm()
 	n.reportSilent()
 }
 
--- a/internal/reducer/patch.go
+++ b/internal/reducer/patch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 	"github.com/azuretrestle/azuretrestle/internal/versioner"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
@@ -14,6 +15,8 @@
 	answerPatience = 6 * time.Second
 	// maxSubmissions bounds the patches in progress at one entry.
 	maxSubmissions = 64
+	// maxConfirm bounds the entries asked in a round for their versions.
+	maxConfirm = 8
 )
 
 const (
@@ -141,6 +144,25 @@
 	}
 }
 
+// confirm asks entries that have not confirmed an accepted patch directly, since
+// digests take long to tell the versions of many entries.
+func (n *Node) confirm() {
+	for _, id := range sortedKeys(n.config.patches) {
+		s := n.config.patches[id]
+		if s.acceptance.Version == 0 {
+			continue
+		}
+		names := n.waitingFor(s)
+		n.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
+		for _, name := range names[:min(len(names), maxConfirm)] {
+			if e, ok := n.view.Find(name); ok && e.Incarnation != 0 {
+				n.ask(gossiper.Target{Name: name, Incarnation: e.Incarnation, Address: e.PeerAddress})
+			}
+		}
+		return
+	}
+}
+
 func refusedPatch(f versioner.Folded) AnswerPatch {
 	a := AnswerPatch{Code: classifier.PatchInvalid, Version: f.Version, Detail: f.Problem}
 	if f.Stale {
