Try an upstream with suspect connections once, and test attempts

Cause: the new tests showed that an upstream with a stalled attempt got no newer one as long as another upstream was idle, so that nothing told a silent connection from a slow upstream until the deadline. Change: while connections are suspect, the age of open attempts does not count, and one request at a time tries a new connection. Tests cover repeats of once-only work, hedges, silent connections and the sources of a drain.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -203,6 +203,9 @@
 	if u.leaving() || !u.open(now, need) || u.inFlight >= u.limit(now, need.Urgent) {
 		return false
 	}
+	if u.onTrial() {
+		return false
+	}
 	if need.Spare && float64(u.inFlight)+u.othersNow(now)+1 > float64(u.Slots) {
 		return false
 	}
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -18,6 +18,8 @@
 	distanceCost = 0.1
 	// reportTrust is the weight of the use by others, which reports may misstate.
 	reportTrust = 0.5
+	// trialCost makes sure that an upstream with suspect connections soon gets its trial.
+	trialCost = 0.1
 	// idleCost is the cost of an idle upstream; the use of its slots adds up to 1 to it.
 	idleCost = 0.5
 )
@@ -58,9 +60,10 @@
 }
 
 // slownessNow also counts the age of the oldest open attempt, so that a straggler shows before it answers.
+// While connections are suspect the age tells nothing of the upstream.
 func (u *upstream) slownessNow(now time.Time) float64 {
 	s := u.faded(now)
-	if u.oldest != nil {
+	if u.oldest != nil && u.suspectedAt.IsZero() {
 		s = max(s, u.oldest.slowness(now))
 	}
 	return s
@@ -70,6 +73,9 @@
 func (p *Pool) cost(now time.Time, u *upstream) float64 {
 	use := (float64(u.inFlight) + reportTrust*u.othersNow(now) + 1) / float64(u.Slots)
 	c := u.slownessNow(now) * (idleCost + use) * u.costFactor(now)
+	if !u.suspectedAt.IsZero() {
+		c *= trialCost
+	}
 	if u.DataCentre != p.dataCentre {
 		c += distanceCost
 	}
--- a/internal/balancer/silence.go
+++ b/internal/balancer/silence.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// onTrial reports whether connections are suspect and a new one is being tried.
+func (u *upstream) onTrial() bool {
+	return !u.suspectedAt.IsZero() && u.newest != nil && u.newest.started.After(u.suspectedAt)
+}
+
 // fresh reports whether a new attempt needs a new connection.
 func (s *silence) fresh(now time.Time, need Need) bool {
 	if need.Fresh || !s.suspectedAt.IsZero() {
