--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -68,21 +68,24 @@
 	if code := r.admit(now, it); code != classifier.OK {
 		return code
 	}
-	q.push(r, it)
+	q.push(now, r, it)
 	return classifier.OK
 }
 
 // Return puts a request back that was accepted before; it is never refused for load.
-func (q *Queue) Return(it Item) bool {
+func (q *Queue) Return(now time.Time, it Item) bool {
 	r := find(q.ranks, it.Rank)
 	if r == nil {
 		return false
 	}
-	q.push(r, it)
+	q.push(now, r, it)
 	return true
 }
 
-func (q *Queue) push(r *rankQueue, it Item) {
+func (q *Queue) push(now time.Time, r *rankQueue, it Item) {
+	if len(r.items) == 0 {
+		r.waitsSince = now
+	}
 	w := &waiter{Item: it, rank: r}
 	heap.Push(&r.items, w)
 	r.bytes += it.Size
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -24,6 +24,8 @@
 	// pace is the mean time between two dispatches while requests wait.
 	pace      time.Duration
 	lastTaken time.Time
+	// waitsSince is when the queue was last empty.
+	waitsSince time.Time
 	// backlog is set if requests were left waiting at the last dispatch.
 	backlog bool
 }
@@ -87,7 +89,11 @@
 	if len(r.items) == 0 {
 		return 0
 	}
-	pace := max(r.pace, now.Sub(r.lastTaken)/stallWeight)
+	since := r.lastTaken
+	if r.waitsSince.After(since) {
+		since = r.waitsSince
+	}
+	pace := max(r.pace, now.Sub(since)/stallWeight)
 	return time.Duration(len(r.items)) * pace
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -51,7 +51,8 @@
 	upstreams  []*upstream
 	byName     map[string]*upstream
 	ranks      map[string]*rankLatency
-	// freed is the upstream that last gave back a slot; it is looked at first when room is rare.
+	// freed is the upstream that last gave back a slot; it is always looked at, since
+	// room may be rare, but last, so that it does not win ties.
 	freed *upstream
 	// ejected counts the upstreams that are ejected.
 	ejected int
@@ -160,9 +161,6 @@
 			best, cost = u, c
 		}
 	}
-	if p.freed != nil {
-		consider(p.freed)
-	}
 	n := len(p.upstreams)
 	start, step := p.random.IntN(n), p.step()
 	for i := range min(n, maxLooks) {
@@ -171,6 +169,9 @@
 		}
 		consider(p.upstreams[(start+i*step)%n])
 	}
+	if p.freed != nil {
+		consider(p.freed)
+	}
 	return best
 }
 
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -43,7 +43,7 @@
 func (u *upstream) outlived(now time.Time, a *Attempt) {
 	age := now.Sub(a.started)
 	if a.rank.tail > 0 && float64(age) > a.rank.tail {
-		u.stalled(now)
+		u.stalled(now, a.started)
 	}
 	a.rank.observeTail(age)
 	if a.slowness(now) > u.faded(now) {
--- a/internal/balancer/silence.go
+++ b/internal/balancer/silence.go
@@ -27,6 +27,8 @@
 	// attempts then use new connections, which shows whether only the old ones are silent.
 	suspectedAt time.Time
 	closedAt    time.Time
+	// calmUntil is when connections may be suspected again after a trial that stalled.
+	calmUntil time.Time
 	// stalls counts the attempts in a row that were given up after the tail latency.
 	stalls int
 	// closeDue is set once a new connection was answered where older ones had stalled.
@@ -47,7 +49,7 @@
 	if u.answeredStart.After(a.started) {
 		return true
 	}
-	u.suspectedAt = now
+	u.suspect(now)
 	return false
 }
 
@@ -79,10 +81,25 @@
 	}
 }
 
-// stalled notes an attempt that was given up after the tail latency.
-func (s *silence) stalled(now time.Time) {
+// stalled notes an attempt that was given up after the tail latency. If it was
+// the trial of a new connection, the upstream is slow rather than its connections silent.
+func (s *silence) stalled(now, started time.Time) {
+	if !s.suspectedAt.IsZero() {
+		if started.After(s.suspectedAt) {
+			s.suspectedAt = time.Time{}
+			s.stalls = 0
+			s.calmUntil = now.Add(closeInterval)
+		}
+		return
+	}
 	s.stalls++
-	if s.stalls >= suspectStalls && s.suspectedAt.IsZero() {
+	if s.stalls >= suspectStalls {
+		s.suspect(now)
+	}
+}
+
+func (s *silence) suspect(now time.Time) {
+	if !now.Before(s.calmUntil) {
 		s.suspectedAt = now
 	}
 }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -20,7 +20,7 @@
 	// shedRecovery raises the ceiling per answer.
 	shedRecovery = 0.02
 	// windowGrowth and windowDecay change the window with each answer.
-	windowGrowth = 0.1
+	windowGrowth = 0.02
 	windowDecay  = 0.02
 	// shedPause keeps new work away after a request was shed.
 	shedPause = 2 * time.Millisecond
@@ -110,7 +110,7 @@
 // all entries would fill the free slots of an upstream at once when a flood begins,
 // before any report tells them of each other.
 func (u *upstream) answered() {
-	if float64(u.inFlight+1) >= u.window {
+	if u.inFlight+1 >= int(u.window) {
 		u.window = min(u.window+windowGrowth, float64(u.Slots))
 	} else {
 		u.window = max(u.window-windowDecay, 1)
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -74,7 +74,7 @@
 	code := classifier.OK
 	if len(r.attempts) == 0 {
 		code = r.service.queue.Offer(n.now, r.item())
-	} else if !r.service.queue.Return(r.item()) {
+	} else if !r.service.queue.Return(n.now, r.item()) {
 		code = classifier.UnknownRank
 	}
 	if code != classifier.OK {
@@ -122,7 +122,7 @@
 		aside = append(aside, it)
 	}
 	for _, it := range aside {
-		s.queue.Return(it)
+		s.queue.Return(n.now, it)
 	}
 }
 
