Keep strides ready and forgive traces of old reports

The test is right: an estimate of others' requests that has faded to nearly nothing still cost a whole slot. Finding a stride for each choice cost more in a large pool. Change: a tenth of a slot is forgiven when the room is rounded down; strides are drawn when the configuration changes. Measured: TestSharedSlots passes.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -42,6 +42,8 @@
 	candidates = 4
 	// maxLooks bounds the upstreams looked at while most have no room.
 	maxLooks = 32
+	// maxStrides bounds the strides that a pool keeps.
+	maxStrides = 64
 )
 
 // Pool holds the upstreams of one service as one entry sees them.
@@ -50,6 +52,7 @@
 	dataCentre string
 	upstreams  []*upstream
 	byName     map[string]*upstream
+	strides    []int
 	ranks      map[string]*rankLatency
 	// freed is the upstream that last gave back a slot; it is always looked at, since
 	// room may be rare, but last, so that it does not win ties.
@@ -129,6 +132,7 @@
 	}
 	p.byName = byName
 	p.freed = nil
+	p.strides = p.newStrides()
 }
 
 // Pick reserves a slot on an upstream; it fails if none has room. It compares a
@@ -162,7 +166,7 @@
 		}
 	}
 	n := len(p.upstreams)
-	start, step := p.random.IntN(n), p.step()
+	start, step := p.random.IntN(n), p.strides[p.random.IntN(len(p.strides))]
 	for i := range min(n, maxLooks) {
 		if found >= candidates {
 			break
@@ -181,16 +185,17 @@
 	return int(share + p.random.Float64())
 }
 
-// step returns a random stride that visits every upstream, so that neighbours in the list are not tied together.
-func (p *Pool) step() int {
+// newStrides returns some random strides that each visit every upstream, so
+// that neighbours in the list are not tied together.
+func (p *Pool) newStrides() []int {
+	out := []int{1}
 	n := len(p.upstreams)
-	for range 8 {
-		s := 1 + p.random.IntN(n)
-		if gcd(s, n) == 1 {
-			return s
+	for range maxStrides {
+		if s := 1 + p.random.IntN(n+1); gcd(s, n) == 1 {
+			out = append(out, s)
 		}
 	}
-	return 1
+	return out
 }
 
 func gcd(a, b int) int {
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -15,6 +15,8 @@
 	// urgentSlack is the room beyond the slots that the most urgent rank may use; it
 	// keeps slots busy during the round trip between an answer and the next request.
 	urgentSlack = 1
+	// roundingSlack keeps a faded trace of others' requests from costing a whole slot.
+	roundingSlack = 0.1
 	// shedFactor lowers the ceiling of an upstream that shed a request.
 	shedFactor = 0.8
 	// shedRecovery raises the ceiling per answer.
@@ -89,7 +91,7 @@
 	if now.Before(u.pausedUntil) {
 		return 0
 	}
-	room := float64(u.Slots) - u.othersNow(now)
+	room := float64(u.Slots) - u.othersNow(now) + roundingSlack
 	limit := int(min(room, u.ceiling) * (1 - u.away(now)))
 	if !urgent {
 		return max(min(limit, int(u.window)), int(float64(u.least)*(1-u.away(now))))
