--- a/internal/balancer/rank.go
+++ b/internal/balancer/rank.go
@@ -1,6 +1,10 @@
 package balancer
 
-import "time"
+import (
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
 
 const (
 	// meanWeight is the reciprocal weight of a new sample in the mean latency of a rank.
@@ -15,7 +19,8 @@
 
 // rankLatency is what the pool learned of one rank's latency over all upstreams.
 type rankLatency struct {
-	mean time.Duration
+	target patcher.Period
+	mean   time.Duration
 	// tail is a quantile, followed by small steps (Ma, Muthukrishnan and Sandler 2013).
 	tail float64
 }
--- a/internal/balancer/silence.go
+++ b/internal/balancer/silence.go
@@ -7,7 +7,7 @@
 	silentFactor = 8
 	// leastSilence keeps a stall of a fast rank from counting as silence.
 	leastSilence = 100 * time.Millisecond
-	// firstSilence applies while no latency is known.
+	// firstSilence applies while no latency is known, unless the target of the rank is longer.
 	firstSilence = time.Second
 	// freshAfter is the time since the last answer after which once-only work gets a new connection.
 	freshAfter = time.Second
@@ -27,6 +27,8 @@
 	// attempts then use new connections, which shows whether only the old ones are silent.
 	suspectedAt time.Time
 	closedAt    time.Time
+	// calmUntil is when connections may be suspected again after a trial that stalled.
+	calmUntil time.Time
 	// stalls counts the attempts in a row that were given up after the tail latency.
 	stalls int
 	// closeDue is set once a new connection was answered where older ones had stalled.
@@ -36,18 +38,22 @@
 // SilenceAfter returns the time from its start after which an attempt should be looked at.
 func (p *Pool) SilenceAfter(a *Attempt) time.Duration {
 	if a.rank.tail <= 0 {
-		return firstSilence
+		return max(firstSilence, a.rank.target.Duration)
 	}
 	return max(silentFactor*time.Duration(a.rank.tail), leastSilence)
 }
 
 // Silent reports whether an attempt is overdue although a newer one on the same upstream was answered.
+// Latencies learned since the attempt began may have made it early.
 func (p *Pool) Silent(now time.Time, a *Attempt) bool {
 	u := a.upstream
+	if now.Sub(a.started) < p.SilenceAfter(a) {
+		return false
+	}
 	if u.answeredStart.After(a.started) {
 		return true
 	}
-	u.suspectedAt = now
+	u.suspect(now)
 	return false
 }
 
@@ -79,14 +85,34 @@
 	}
 }
 
-// stalled notes an attempt that was given up after the tail latency.
-func (s *silence) stalled(now time.Time) {
+// stalled notes an attempt that was given up after the tail latency. If it was
+// the trial of a new connection, the upstream is slow rather than its connections silent.
+func (s *silence) stalled(now, started time.Time) {
+	if !s.suspectedAt.IsZero() {
+		if started.After(s.suspectedAt) {
+			s.suspectedAt = time.Time{}
+			s.stalls = 0
+			s.calmUntil = now.Add(closeInterval)
+		}
+		return
+	}
 	s.stalls++
-	if s.stalls >= suspectStalls && s.suspectedAt.IsZero() {
+	if s.stalls >= suspectStalls {
+		s.suspect(now)
+	}
+}
+
+func (s *silence) suspect(now time.Time) {
+	if !now.Before(s.calmUntil) {
 		s.suspectedAt = now
 	}
 }
 
+// onTrial reports whether connections are suspect and a new one is being tried.
+func (u *upstream) onTrial() bool {
+	return !u.suspectedAt.IsZero() && u.newest != nil && u.newest.started.After(u.suspectedAt)
+}
+
 // fresh reports whether a new attempt needs a new connection.
 func (s *silence) fresh(now time.Time, need Need) bool {
 	if need.Fresh || !s.suspectedAt.IsZero() {
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -15,12 +15,14 @@
 	// urgentSlack is the room beyond the slots that the most urgent rank may use; it
 	// keeps slots busy during the round trip between an answer and the next request.
 	urgentSlack = 1
+	// roundingSlack keeps a faded trace of others' requests from costing a whole slot.
+	roundingSlack = 0.1
 	// shedFactor lowers the ceiling of an upstream that shed a request.
 	shedFactor = 0.8
 	// shedRecovery raises the ceiling per answer.
 	shedRecovery = 0.02
 	// windowGrowth and windowDecay change the window with each answer.
-	windowGrowth = 0.1
+	windowGrowth = 0.02
 	windowDecay  = 0.02
 	// shedPause keeps new work away after a request was shed.
 	shedPause = 2 * time.Millisecond
@@ -89,7 +91,7 @@
 	if now.Before(u.pausedUntil) {
 		return 0
 	}
-	room := float64(u.Slots) - u.othersNow(now)
+	room := float64(u.Slots) - u.othersNow(now) + roundingSlack
 	limit := int(min(room, u.ceiling) * (1 - u.away(now)))
 	if !urgent {
 		return max(min(limit, int(u.window)), int(float64(u.least)*(1-u.away(now))))
@@ -110,7 +112,7 @@
 // all entries would fill the free slots of an upstream at once when a flood begins,
 // before any report tells them of each other.
 func (u *upstream) answered() {
-	if float64(u.inFlight+1) >= u.window {
+	if u.inFlight+1 >= int(u.window) {
 		u.window = min(u.window+windowGrowth, float64(u.Slots))
 	} else {
 		u.window = max(u.window-windowDecay, 1)
