Share the connections of an upstream, audit its changes, mend a panic after a stop

Cause: each entry could open all connections that an upstream accepts; changes of upstreams' states went to the log output but not to the audit trail; and the log of the serve script showed a recovered panic: the last entry, once stopped, counts no known entry and looked up the middle of an empty list. Change: an entry has Connections/MaxEntries connections, at least one, and no more requests in flight than that; upstream changes are audited by each entry that sees them; no known entry gives no evidence.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -54,6 +54,8 @@
 	byName     map[string]*upstream
 	strides    []int
 	ranks      map[string]*rankLatency
+	// maxEntries is the number of entries that share the connections of an upstream.
+	maxEntries int
 	// freed is the upstream that last gave back a slot; it is always looked at, since
 	// room may be rare, but last, so that it does not win ties.
 	freed *upstream
@@ -98,6 +100,7 @@
 		dataCentre: dataCentre,
 		byName:     make(map[string]*upstream),
 		ranks:      make(map[string]*rankLatency),
+		maxEntries: 1,
 	}
 }
 
@@ -106,6 +109,7 @@
 	for _, r := range s.Ranks {
 		p.rank(r.Name).target = r.Target
 	}
+	p.maxEntries = max(1, s.MaxEntries)
 	first := len(p.upstreams) == 0
 	byName := make(map[string]*upstream, len(s.Upstreams))
 	p.upstreams = p.upstreams[:0]
@@ -149,10 +153,13 @@
 	a := best.begin(now, p.rank(need.Rank))
 	return Choice{
 		Attempt: a, Name: best.Name, Address: best.Address,
-		Connections: best.Connections, Fresh: best.fresh(now, need),
+		Connections: p.connections(best), Fresh: best.fresh(now, need),
 	}, true
 }
 
+// connections is this entry's share of the connections that an upstream accepts.
+func (p *Pool) connections(u *upstream) int { return max(1, u.Connections/p.maxEntries) }
+
 func (p *Pool) best(now time.Time, need Need) *upstream {
 	if len(p.upstreams) == 0 {
 		return nil
@@ -160,7 +167,7 @@
 	var best *upstream
 	cost, found := 0.0, 0
 	consider := func(u *upstream) {
-		if u == best || !u.usable(now, need) {
+		if u == best || u.inFlight >= p.connections(u) || !u.usable(now, need) {
 			return
 		}
 		found++
--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -146,3 +146,20 @@
 		}
 	}
 }
+
+// TestConnectionShare guards against entries that together open more
+// connections than an upstream accepts, and against requests that wait for one.
+func TestConnectionShare(t *testing.T) {
+	is := is.New(t)
+	s := &patcher.Service{Name: "S", MaxEntries: 8, Upstreams: []patcher.Upstream{{Name: "u", Slots: 100, Connections: 24}}}
+	p := balancer.New(1, "a")
+	now := time.Unix(1000, 0)
+	p.Update(now, s)
+	for range 3 {
+		c, ok := p.Pick(now, balancer.Need{Rank: "R", Urgent: true})
+		is.True(ok)
+		is.Equal(c.Connections, 3)
+	}
+	_, ok := p.Pick(now, balancer.Need{Rank: "R", Urgent: true})
+	is.True(!ok)
+}
--- a/internal/gossiper/evidence.go
+++ b/internal/gossiper/evidence.go
@@ -63,6 +63,10 @@
 // have forgotten a version that an earlier incarnation confirmed.
 func (v *View) heardMajority(now time.Time) time.Time {
 	heard := make([]time.Time, v.count())
+	if len(heard) == 0 {
+		// The entry itself is the last one and has stopped.
+		return time.Time{}
+	}
 	known := 0
 	for _, e := range v.entries {
 		if e.State != Stopped {
--- a/internal/gossiper/view_test.go
+++ b/internal/gossiper/view_test.go
@@ -89,3 +89,13 @@
 	is.True(v.Put(Entry{Name: "b", Incarnation: 6, State: Starting}))
 	is.Equal(len(v.Changes()), 2)
 }
+
+// TestLastStopped guards against a panic of the only entry once it has stopped.
+func TestLastStopped(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	v := NewView(Entry{Name: "a", Incarnation: 1, State: Alive})
+	v.Listed(now, nil)
+	v.Update(now, Stopped, 1, 0, false)
+	is.True(v.Majority(now).At.IsZero())
+}
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -60,13 +60,14 @@
 	}
 }
 
-// auditUpstreams reports the changes of the upstreams' states.
+// auditUpstreams puts the changes of the upstreams' states onto the audit trail.
+// Each entry writes its own, since others may not have seen them.
 func (n *Node) auditUpstreams(s *service) {
 	for _, c := range s.pool.Changes() {
-		n.emit(Audit{auditor.Entry{
-			At: n.now, Actor: n.Name, Action: "Upstream" + string(c.State),
-			Subject: s.config.Name + "/" + c.Name, Cause: c.Reason, Version: n.config.log.Config().Version,
-		}})
+		n.audit(auditor.Entry{
+			Actor: n.Name, Action: "Upstream" + string(c.State), Subject: s.config.Name + "/" + c.Name,
+			Cause: c.Reason, Version: n.config.log.Config().Version,
+		})
 	}
 }
 
