Answer unknown for once-only work refused before the node

Cause: the driver refused requests by itself (unknown rank or service, body too large, malformed, no memory, too many calls) always as NotRun. A repeat of a once-only request may follow an attempt that ran, so NotRun was a false statement about the key.

Change: such a refusal is Unknown if the request has an Idempotency-Key and is not marked as the first attempt, unless its rank is known as idempotent. A rank that is not known counts as once-only, since it may have been removed between two attempts. The rank is looked up before the number of calls is checked, so that its kind is known for that refusal too.

The refusal at the limit of calls has the same path but no case of its own in the test.

--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -86,8 +86,10 @@
 	name, path, _ := strings.Cut(rest, "/")
 	c := &call{request: r, service: service, rawPath: "/" + path, reply: make(chan reply, 1)}
 	rank, code := d.rank(service, name)
+	// An unknown rank may be one that was once-only until it was removed.
+	c.onceOnly = rank.Kind != patcher.Idempotent
 	if code != classifier.OK {
-		d.write(w, r, refuseRequest(code))
+		d.write(w, r, c.refuse(code))
 		d.metrics.count("", "", code, begun)
 		return
 	}
@@ -107,13 +109,12 @@
 		c.path, err = url.PathUnescape(c.rawPath)
 	}
 	if err != nil || r.Method == http.MethodConnect {
-		return d.write(w, r, refuseRequest(classifier.MalformedRequest))
+		return d.write(w, r, c.refuse(classifier.MalformedRequest))
 	}
-	c.onceOnly = rank.Kind == patcher.OnceOnly
 	defer c.release()
 	if code := d.readBody(c, w, rank); code != classifier.OK {
 		w.Header().Set("Connection", "close")
-		return d.write(w, r, refuseRequest(code))
+		return d.write(w, r, c.refuse(code))
 	}
 	id := d.arrive(c, rank, deadline)
 	d.runInline(c, id)
@@ -144,6 +145,19 @@
 	c.inline()
 }
 
+// first reports whether the caller marked the request as the first attempt with its key.
+func (c *call) first() bool { return c.request.Header.Get(headerAttempt) == firstAttempt }
+
+// refuse refuses a request before the node has seen it. Earlier attempts with
+// the key of a once-only request may have run, here or through another entry.
+func (c *call) refuse(code classifier.Code) refusal {
+	out := refuseRequest(code)
+	if c.onceOnly && c.request.Header.Get(headerKey) != "" && !c.first() {
+		out.Outcome = classifier.OutcomeUnknown
+	}
+	return out
+}
+
 func (c *call) release() {
 	if c.held.memory != nil {
 		c.held.release()
@@ -160,10 +174,11 @@
 func (d *Driver) rank(service, name string) (patcher.Rank, classifier.Code) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.calls) >= maxCalls {
-		return patcher.Rank{}, classifier.QueueFull
+	rank, code := d.node.Rank(service, name)
+	if code == classifier.OK && len(d.calls) >= maxCalls {
+		code = classifier.QueueFull
 	}
-	return d.node.Rank(service, name)
+	return rank, code
 }
 
 func (d *Driver) arrive(c *call, rank patcher.Rank, deadline time.Time) reducer.RequestID {
@@ -171,7 +186,7 @@
 	ev := reducer.RequestArrived{
 		Service: c.service, Rank: rank.Name, Deadline: deadline,
 		Key: h.Get(headerKey), BodySize: c.request.ContentLength,
-		FirstAttempt: h.Get(headerAttempt) == firstAttempt,
+		FirstAttempt: c.first(),
 		Replayable:   c.replayable,
 	}
 	if c.onceOnly {
