--- a/pkg/caller/caller_test.go
+++ b/pkg/caller/caller_test.go
@@ -172,7 +172,7 @@
 func TestEntries(t *testing.T) {
 	is := is.New(t)
 	dead := netip.MustParseAddrPort("127.0.0.1:1")
-	f := &fakeEntry{script: []string{"OK"}, expires: 300 * time.Millisecond, listed: []Entry{{Name: "dead", Address: dead}}}
+	f := &fakeEntry{script: []string{"OK"}, expires: expiryMargin + 300*time.Millisecond, listed: []Entry{{Name: "dead", Address: dead}}}
 	client := New([]netip.AddrPort{dead, f.start(t)}, WithRetryBudget(1, 10))
 	defer client.Close()
 	for range 20 {
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"net/netip"
-	"time"
 )
 
 // Headers between callers and entries.
@@ -22,7 +21,6 @@
 	defaultRetryShare = 0.1
 	defaultRetryBurst = 10
 	defaultMaxAnswer  = 64 << 20
-	defaultIdleConns  = 256
 )
 
 // Client sends requests to the system; it is safe for concurrent use.
@@ -59,7 +57,8 @@
 // tools that address single entries: a stopping entry is then noticed only by its refusals.
 func WithFixedEntries() Option { return func(c *Client) { c.fixed = true } }
 
-// WithTransport replaces the HTTP transport.
+// WithTransport replaces the HTTP transport. The client's own keeps no connection
+// to an entry that stops or is no longer named.
 func WithTransport(t http.RoundTripper) Option { return func(c *Client) { c.http.Transport = t } }
 
 // New returns a client that asks the given entries first.
@@ -70,7 +69,7 @@
 		maxAnswer: defaultMaxAnswer,
 		budget:    newBudget(defaultRetryShare, defaultRetryBurst),
 		http: &http.Client{
-			Transport:     &http.Transport{MaxIdleConnsPerHost: defaultIdleConns, IdleConnTimeout: time.Minute, DisableCompression: true},
+			Transport:     &transports{},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/pkg/caller/entries.go
+++ b/pkg/caller/entries.go
@@ -24,6 +24,11 @@
 	maxListing = 1 << 20
 	// avoidPeriod is how long an entry that failed is used only if no other is left.
 	avoidPeriod = 2 * time.Second
+	// expiryMargin is the time before the expiry of an answer at which a new one
+	// is asked for. A stopping entry closes its listeners as the last answer that
+	// names it expires, and a request takes a while from the choice of an entry
+	// to its arrival there.
+	expiryMargin = 250 * time.Millisecond
 )
 
 // Entry is one entry that the system told to use.
@@ -49,7 +54,7 @@
 }
 
 func (d *directory) fresh(now time.Time) ([]Entry, bool) {
-	return d.list, len(d.list) > 0 && now.Before(d.expires)
+	return d.list, len(d.list) > 0 && now.Before(d.expires.Add(-expiryMargin))
 }
 
 // current returns unexpired entries; of several callers that find none, one asks and the others wait.
@@ -110,6 +115,9 @@
 	}
 	d.list = w.Entries
 	d.expires = w.Expires
+	if t, ok := c.http.Transport.(*transports); ok {
+		t.keep(w.Entries)
+	}
 	return w.Entries, nil
 }
 
