Show the node's state in the metrics and alert on it

Cause: /metrics showed no states of upstreams and members, no age of the evidence and no audit backlog, so most alerts of OPERATIONS.md had to rely on /readyz and the log lines. ADMIN.md listed 3 of the metrics.

Change: a collector reads the node at each scrape: states, open requests and latency of upstreams, states of members, newest version heard of, age of the evidence from log and peers and the time left, whether the log is reachable, audit backlog and losses. Series of removed upstreams and entries vanish by themselves. The lock is released between services.

The cost of a scrape was not measured.

The node does not show the sizes of its once-only tables, so there is no metric of them.

--- /dev/null
+++ b/internal/driver/collector.go
@@ -0,0 +1,133 @@
+package driver
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+)
+
+// nodeCollector reads the node's state at each scrape, so that no series
+// outlives the upstream or entry that it describes.
+type nodeCollector struct{ driver *Driver }
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc(prometheus.BuildFQName(namespace, "", name), help, labels, nil)
+}
+
+var (
+	descUpstreams    = describe("upstreams", "Upstreams by service and state, as this entry sees them.", "service", "state")
+	descUpstream     = describe("upstream_state", "State of an upstream as this entry sees it; always 1.", "service", "upstream", "state")
+	descInFlight     = describe("upstream_in_flight", "Open requests of this entry at an upstream.", "service", "upstream")
+	descLatency      = describe("upstream_latency_seconds", "Smoothed latency of an upstream over all ranks.", "service", "upstream")
+	descMember       = describe("member_state", "State of an entry as this entry sees it, Suspected if it is silent; always 1.", "entry", "state")
+	descNewest       = describe("config_newest_version", "Highest configuration version that the entry has heard of.")
+	descLogAge       = describe("evidence_log_age_seconds", "Age of the newest evidence from the log; missing if there is none.")
+	descPeersAge     = describe("evidence_peers_age_seconds", "Age of the newest evidence from a majority of entries; missing if there is none.")
+	descEvidenceLeft = describe("evidence_left_seconds", "Time until the entry stops taking new work unless it confirms its version again; negative afterwards, missing without evidence.")
+	descLog          = describe("log_reachable", "1 if the last read of the platform log succeeded, 0 otherwise.")
+	descAuditBuffer  = describe("audit_backlog", "Audit records that wait for the platform log.")
+	descAuditLost    = describe("audit_lost_total", "Audit records that did not fit the buffer.")
+)
+
+// upstreamStates lists the states that are shown even if no upstream is in them.
+var upstreamStates = []balancer.State{balancer.Serving, balancer.Returning, balancer.Failing, balancer.Ejected, balancer.Leaving}
+
+// Describe sends the descriptions of all metrics.
+func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		descUpstreams, descUpstream, descInFlight, descLatency, descMember, descNewest,
+		descLogAge, descPeersAge, descEvidenceLeft, descLog, descAuditBuffer, descAuditLost,
+	} {
+		ch <- d
+	}
+}
+
+// serviceSample is the state of one service at a scrape.
+type serviceSample struct {
+	name      string
+	upstreams []balancer.Status
+}
+
+// sample is the state of a node at a scrape.
+type sample struct {
+	services []serviceSample
+	members  []reducer.Member
+	evidence reducer.Evidence
+	buffered int
+	lost     uint64
+}
+
+// sample copies the state. The driver's lock is released between services, so
+// that a scrape of many upstreams does not delay requests for long.
+func (c nodeCollector) sample() sample {
+	var s sample
+	c.driver.View(func(n *reducer.Node) {
+		for _, svc := range n.Config().Services {
+			s.services = append(s.services, serviceSample{name: svc.Name})
+		}
+		s.members = n.Members()
+		s.evidence = n.Evidence()
+		s.buffered, s.lost = n.AuditBacklog()
+	})
+	for i := range s.services {
+		svc := &s.services[i]
+		c.driver.View(func(n *reducer.Node) { svc.upstreams = n.Upstreams(svc.name) })
+	}
+	return s
+}
+
+// Collect sends the state of the node.
+func (c nodeCollector) Collect(ch chan<- prometheus.Metric) {
+	s := c.sample()
+	for _, svc := range s.services {
+		sendService(ch, svc)
+	}
+	for _, m := range s.members {
+		state := m.State.String()
+		if m.Suspected {
+			state = "Suspected"
+		}
+		sendGauge(ch, descMember, 1, m.Name, state)
+	}
+	sendEvidence(ch, s.evidence, time.Now())
+	sendGauge(ch, descAuditBuffer, float64(s.buffered))
+	ch <- prometheus.MustNewConstMetric(descAuditLost, prometheus.CounterValue, float64(s.lost))
+}
+
+func sendGauge(ch chan<- prometheus.Metric, d *prometheus.Desc, value float64, labels ...string) {
+	ch <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, value, labels...)
+}
+
+func sendService(ch chan<- prometheus.Metric, s serviceSample) {
+	states := make(map[balancer.State]int)
+	for _, u := range s.upstreams {
+		states[u.State]++
+		sendGauge(ch, descUpstream, 1, s.name, u.Name, string(u.State))
+		sendGauge(ch, descInFlight, float64(u.InFlight), s.name, u.Name)
+		sendGauge(ch, descLatency, u.Latency.Seconds(), s.name, u.Name)
+	}
+	for _, state := range upstreamStates {
+		sendGauge(ch, descUpstreams, float64(states[state]), s.name, string(state))
+	}
+}
+
+func sendEvidence(ch chan<- prometheus.Metric, e reducer.Evidence, now time.Time) {
+	sendGauge(ch, descNewest, float64(e.Newest))
+	if !e.LogAt.IsZero() {
+		sendGauge(ch, descLogAge, now.Sub(e.LogAt).Seconds())
+	}
+	if !e.PeersAt.IsZero() {
+		sendGauge(ch, descPeersAge, now.Sub(e.PeersAt).Seconds())
+	}
+	if !e.LogAt.IsZero() || !e.PeersAt.IsZero() {
+		sendGauge(ch, descEvidenceLeft, e.ExpiresAt.Sub(now).Seconds())
+	}
+	reachable := 0.0
+	if e.LogReachable {
+		reachable = 1
+	}
+	sendGauge(ch, descLog, reachable)
+}
--- a/internal/driver/effect_test.go
+++ b/internal/driver/effect_test.go
@@ -188,11 +188,23 @@
 		`azuretrestle_attempts_total{result="Answered",service="S",upstream="u0"} 1`,
 		`azuretrestle_config_version 1`,
 		`azuretrestle_requests_in_flight 0`,
+		`azuretrestle_upstreams{service="S",state="Serving"} 1`,
+		`azuretrestle_upstreams{service="S",state="Ejected"} 0`,
+		`azuretrestle_upstream_state{service="S",state="Serving",upstream="u0"} 1`,
+		`azuretrestle_upstream_in_flight{service="S",upstream="u0"} 0`,
+		`azuretrestle_member_state{entry="e1",state="Alive"} 1`,
+		`azuretrestle_config_newest_version 1`,
+		`azuretrestle_log_reachable 1`,
+		`azuretrestle_audit_lost_total 0`,
 	} {
 		if !strings.Contains(text, line+"\n") {
 			t.Errorf("metrics lack %s", line)
 		}
 	}
+	b.log.SetMode(faker.LogDown)
+	waitFor[reducer.LogFailed](b)
+	_, text = get("/metrics")
+	b.is.True(strings.Contains(text, "azuretrestle_log_reachable 0\n"))
 	code, _ = get("/readyz")
 	b.is.Equal(code, http.StatusOK)
 	b.driver.stopping.Store(true)
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -51,7 +51,7 @@
 	}
 	m.registry.MustRegister(
 		m.requests, m.latency, m.inFlight, m.attempts, m.probes, m.probeSeconds, m.changes, m.panics,
-		collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		gauge("config_version", "Configuration version in force.", func() float64 { return float64(d.version()) }),
 		gauge("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.memory.held.Load()) }),
 		gauge("open_peers", "Entries that messages were sent to lately.", func() float64 { return float64(d.peers.Stats().Peers) }),
