Name log fields in Pascal case throughout

Cause: most log fields began in lower case, zap.Error writes "error", and messages of the administration began with capitals. "entry started" repeated the entry's name beside the field Entry, and audit lines had the time and actor before what happened.

Change: all fields are in Pascal case, errors are in the field Error and messages begin in lower case. "entry started" has the data centre and the peer address in place of the name. Audit lines give Action, Subject, Cause, Actor, Version and At. Levels are as before.

Conclusion: one form for all log lines. The net/http servers' own messages still come at level info, as zap.NewStdLog writes them.

--- a/internal/administrator/call.go
+++ b/internal/administrator/call.go
@@ -80,7 +80,7 @@
 	name, ok := a.operator(r)
 	if !c.Open && !ok {
 		a.metrics.refused.Inc()
-		a.logger.Warn("Administration call refused", zap.String("Path", c.Path), zap.String("From", r.RemoteAddr))
+		a.logger.Warn("administration call refused", zap.String("Path", c.Path), zap.String("From", r.RemoteAddr))
 		writeReply(w, Reply{Code: classifier.Unauthorized})
 		return
 	}
--- a/internal/administrator/serve.go
+++ b/internal/administrator/serve.go
@@ -53,7 +53,7 @@
 	}
 	reply := a.submit(r.Context(), p)
 	a.metrics.patches.WithLabelValues(reply.Code.String()).Inc()
-	a.logger.Info("Patch answered", zap.String("ID", p.ID), zap.String("Operator", operator),
+	a.logger.Info("patch answered", zap.String("ID", p.ID), zap.String("Operator", operator),
 		zap.Uint64("Base", p.Base), zap.Stringer("Code", reply.Code), zap.Uint64("Version", reply.Version))
 	writeReply(w, reply)
 }
--- a/internal/administrator/tls.go
+++ b/internal/administrator/tls.go
@@ -67,7 +67,7 @@
 func (c *Certificate) reload() {
 	stamp, err := c.look()
 	if err != nil {
-		c.logger.Error("Certificate files can't be read", zap.Error(err))
+		c.logger.Error("certificate files can't be read", zap.NamedError("Error", err))
 		return
 	}
 	if stamp == c.stamp {
@@ -75,12 +75,12 @@
 	}
 	pair, err := tls.LoadX509KeyPair(c.certFile, c.keyFile)
 	if err != nil {
-		c.logger.Error("Certificate can't be loaded", zap.Error(err))
+		c.logger.Error("certificate can't be loaded", zap.NamedError("Error", err))
 		return
 	}
 	c.current = &pair
 	c.stamp = stamp
-	c.logger.Info("Certificate reloaded", zap.String("File", c.certFile))
+	c.logger.Info("certificate reloaded", zap.String("File", c.certFile))
 }
 
 func (c *Certificate) look() (fileStamp, error) {
--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -85,7 +85,7 @@
 	en.driver.Start()
 	en.driver.Serve(callers)
 	en.admin.start()
-	l.Info("entry started", zap.String("name", s.Name), zap.Stringer("callers", s.Callers), zap.Stringer("administration", s.Administration))
+	l.Info("entry started", zap.String("DataCentre", s.DataCentre), zap.Stringer("Callers", s.Callers), zap.Stringer("Peers", s.Peers), zap.Stringer("Administration", s.Administration))
 	return en, nil
 }
 
@@ -157,7 +157,7 @@
 func (en *entry) run(signals <-chan os.Signal) error {
 	select {
 	case sig := <-signals:
-		en.logger.Info("planned stop began", zap.Stringer("signal", sig))
+		en.logger.Info("planned stop began", zap.Stringer("Signal", sig))
 		return en.stop(signals)
 	case <-en.driver.Done():
 		return errDriverEnded
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -177,7 +177,7 @@
 
 func (d *Driver) panicked(p any) {
 	d.metrics.panics.Inc()
-	d.logger.Error("panic recovered", zap.Any("panic", p), zap.Stack("stack"))
+	d.logger.Error("panic recovered", zap.Any("Panic", p), zap.Stack("Stack"))
 }
 
 func (d *Driver) timerFired() {
@@ -234,7 +234,7 @@
 	case reducer.Stop:
 		d.enterPhase(e.Phase)
 	default:
-		d.logger.Error("effect of unknown type", zap.Any("effect", e))
+		d.logger.Error("effect of unknown type", zap.Any("Effect", e))
 	}
 }
 
@@ -263,6 +263,6 @@
 func (d *Driver) audit(e reducer.Audit) {
 	d.metrics.changes.WithLabelValues(e.Action).Inc()
 	d.logger.Info("state changed",
-		zap.Time("at", e.At), zap.String("actor", e.Actor), zap.String("action", e.Action),
-		zap.String("subject", e.Subject), zap.String("cause", e.Cause), zap.Uint64("version", e.Version))
+		zap.String("Action", e.Action), zap.String("Subject", e.Subject), zap.String("Cause", e.Cause),
+		zap.String("Actor", e.Actor), zap.Uint64("Version", e.Version), zap.Time("At", e.At))
 }
--- a/internal/driver/life.go
+++ b/internal/driver/life.go
@@ -50,7 +50,7 @@
 	d.servers = append(d.servers, server)
 	d.spawn(func() {
 		if err := server.Serve(lis); err != nil && err != http.ErrServerClosed {
-			d.logger.Error("callers' listener failed", zap.Error(err))
+			d.logger.Error("callers' listener failed", zap.NamedError("Error", err))
 		}
 	})
 }
--- a/internal/driver/platform.go
+++ b/internal/driver/platform.go
@@ -27,7 +27,7 @@
 	page, err := d.log.Read(ctx, e.Stream, e.From)
 	d.post(func(s reducer.Stamp) reducer.Event {
 		if err != nil {
-			d.logger.Debug("log not read", zap.String("stream", e.Stream), zap.Error(err))
+			d.logger.Debug("log not read", zap.String("Stream", e.Stream), zap.NamedError("Error", err))
 			return reducer.LogFailed{Stamp: s, Stream: e.Stream}
 		}
 		return logRead(s, e.Stream, asked, page)
@@ -60,7 +60,7 @@
 	defer cancel()
 	hosts, err := d.lister.Hosts(ctx)
 	if err != nil {
-		d.logger.Debug("host list not read", zap.Error(err))
+		d.logger.Debug("host list not read", zap.NamedError("Error", err))
 		return
 	}
 	d.post(func(s reducer.Stamp) reducer.Event {
--- a/internal/messenger/certificate.go
+++ b/internal/messenger/certificate.go
@@ -96,7 +96,7 @@
 		c.logger.Info("certificates reloaded")
 	case err.Error() != c.reported:
 		c.reported = err.Error()
-		c.logger.Warn("certificates not reloaded", zap.Error(err))
+		c.logger.Warn("certificates not reloaded", zap.NamedError("Error", err))
 	}
 	return c.pair, c.trusted
 }
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -110,11 +110,11 @@
 			Reader:            drpcwire.ReaderOptions{MaximumBufferSize: maxBatch},
 			InactivityTimeout: silentAfter,
 		},
-		Log: func(err error) { m.Logger.Debug("peer connection ended", zap.Error(err)) },
+		Log: func(err error) { m.Logger.Debug("peer connection ended", zap.NamedError("Error", err)) },
 	})
 	m.work.Go(func() {
 		if err := server.Serve(m.ctx, lis); err != nil {
-			m.Logger.Error("peer listener failed", zap.Error(err))
+			m.Logger.Error("peer listener failed", zap.NamedError("Error", err))
 		}
 	})
 }
@@ -194,7 +194,7 @@
 	defer func() {
 		if p := recover(); p != nil {
 			err = errors.Errorf("panic: %v", p)
-			r.m.Logger.Error("handler of a peer message panicked", zap.Any("panic", p), zap.Stack("stack"))
+			r.m.Logger.Error("handler of a peer message panicked", zap.Any("Panic", p), zap.Stack("Stack"))
 		}
 	}()
 	if rpc != streamRPC {
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -139,7 +139,7 @@
 	for i, s := range sends {
 		w, err := encode(s.Message)
 		if err != nil {
-			m.Logger.Error("message can't be encoded", zap.String("peer", p.name), zap.Error(err))
+			m.Logger.Error("message can't be encoded", zap.String("Peer", p.name), zap.NamedError("Error", err))
 			m.unreachable(p.name, 1)
 			continue
 		}
@@ -178,7 +178,7 @@
 	if m.ctx.Err() != nil {
 		return
 	}
-	m.Logger.Debug("messages dropped", zap.String("peer", p.name), zap.Int("count", dropped), zap.Error(err))
+	m.Logger.Debug("messages dropped", zap.String("Peer", p.name), zap.Int("Count", dropped), zap.NamedError("Error", err))
 	m.unreachable(p.name, dropped)
 }
 
