Check the once-only protocol with a model of two to four reducers

Cause: the protocol had table tests only. Change: tests join two to four reducers by a queue that loses, repeats, delays and reorders messages, with pauses, deaths and restarts after any step, skewed clocks, differing views, and callers that repeat and hang up at any entry. The traces are judged by checker. A deadline that passes while a peer is asked is answered with the code of that wait (WitnessSilent, KeyInProgress).

--- /dev/null
+++ b/internal/reducer/export_test.go
@@ -0,0 +1,6 @@
+package reducer
+
+import "github.com/azuretrestle/azuretrestle/internal/gossiper"
+
+// PutEntry adds a row to the node's view, in place of an exchange with peers.
+func (n *Node) PutEntry(e gossiper.Entry) { n.view.Put(e) }
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -162,9 +162,9 @@
 func (n *Node) onceRefuse(r *request, code classifier.Code) {
 	outcome := classifier.OutcomeUnknown
 	record := r.once.claim.record
+	code = r.once.refusalCode(code)
 	switch {
 	case r.once.stage == stageWaiting:
-		code = classifier.KeyInProgress
 	case r.mayHaveRun:
 		n.onceFinish(r, deduplicator.Result{Outcome: outcome, Code: code})
 	case record.Granted():
@@ -181,6 +181,18 @@
 	n.end(r)
 }
 
+// refusalCode names what a request waited for when its deadline passed.
+func (o *onceRequest) refusalCode(code classifier.Code) classifier.Code {
+	switch {
+	case o.stage == stageWaiting, o.stage == stageFencing && code == classifier.DeadlinePassed:
+		return classifier.KeyInProgress
+	case o.stage == stageAsking && code == classifier.DeadlinePassed:
+		return classifier.WitnessSilent
+	default:
+		return code
+	}
+}
+
 // onceAnswer gives a request the result of an earlier attempt.
 func (n *Node) onceAnswer(r *request, result deduplicator.Result) {
 	switch {
--- /dev/null
+++ b/internal/reducer/once_test.go
@@ -0,0 +1,307 @@
+package reducer_test
+
+import (
+	"encoding/binary"
+	"flag"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/azuretrestle/azuretrestle/internal/checker"
+	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+// keyAt returns a key that was created at a time.
+func keyAt(t time.Time, number byte, witness string, incarnation uint64) string {
+	var u uuid.UUID
+	binary.BigEndian.PutUint64(u[:], uint64(t.UnixMilli())<<16)
+	u[6] = 0x70
+	u[8] = 0x80
+	u[15] = number
+	return deduplicator.Key{ID: u.String(), Witness: witness, WitnessIncarnation: incarnation}.String()
+}
+
+// choose returns a number from 0 to n-1.
+type choose func(n int) int
+
+func (c choose) oneIn(n int) bool { return c(n) == n-1 }
+
+var (
+	delays = []time.Duration{0, 0, 2 * time.Millisecond, 60 * time.Millisecond, 400 * time.Millisecond, 2 * time.Second}
+	waits  = []time.Duration{
+		0, time.Millisecond, 2 * time.Millisecond, 3 * time.Millisecond, 5 * time.Millisecond,
+		10 * time.Millisecond, 90 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second,
+	}
+	skews        = []time.Duration{0, 0, 3 * time.Second, -3 * time.Second, 30 * time.Second}
+	attemptFates = []fate{
+		fateOK, fateOK, fateShed, fateUnsent, fateCut, fateRanCut, fateSilent, fateLate, fateSlow, fateLarge,
+	}
+)
+
+// explorer drives a world with random callers and faults.
+type explorer struct {
+	*world
+	choose choose
+	keys   []string
+	sent   map[string]bool
+	calls  []*call
+	steps  int
+	cuts   map[int]cut
+}
+
+func newExplorer(c choose) *explorer {
+	names := []string{"a", "b", "c", "d"}[:2+c(3)]
+	e := &explorer{world: newWorld(names...), choose: c, sent: make(map[string]bool), cuts: make(map[int]cut)}
+	e.configure()
+	for _, h := range e.hosts {
+		h.skew = skews[c(len(skews))]
+	}
+	for i := range 2 {
+		w := e.hosts[c(len(e.hosts))]
+		e.keys = append(e.keys, keyAt(e.now, byte(i), w.name, w.incarnation))
+	}
+	for range c(4) {
+		e.cuts[c(40)] = cut{effects: c(3), pause: waits[c(len(waits))], kill: c.oneIn(3)}
+	}
+	e.peerFate = func(string, reducer.PeerMessage) (fate, time.Duration) {
+		return []fate{fateOK, fateOK, fateOK, fateTwice, fateLost}[c(5)], delays[c(len(delays))]
+	}
+	e.attemptFate = func(reducer.Dispatch) fate { return attemptFates[c(len(attemptFates))] }
+	e.cutAfter = func(*host, reducer.Event, []reducer.Effect) (cut, bool) {
+		e.steps++
+		cut, ok := e.cuts[e.steps]
+		return cut, ok
+	}
+	return e
+}
+
+func (e *explorer) act() {
+	h := e.hosts[e.choose(len(e.hosts))]
+	switch e.choose(9) {
+	case 0, 1, 2, 3:
+		e.call(h)
+	case 4:
+		if len(e.calls) > 0 {
+			e.calls[e.choose(len(e.calls))].hangUp()
+		}
+	case 5:
+		if h.alive {
+			h.pause(waits[e.choose(len(waits))])
+		}
+	case 6:
+		h.kill()
+		if e.choose(2) == 0 {
+			h.start()
+		}
+	case 7, 8:
+		if other := e.hosts[e.choose(len(e.hosts))]; other != h && h.alive && other.alive {
+			h.introduce(other)
+		}
+	}
+	if e.choose.oneIn(100) {
+		e.runUntil(e.now.Add(deduplicator.Retention))
+	}
+	e.runUntil(e.now.Add(waits[e.choose(len(waits))]))
+}
+
+func (e *explorer) call(h *host) {
+	if !h.alive {
+		h.start()
+	}
+	key := e.keys[e.choose(len(e.keys))]
+	digest := uint64(1)
+	if e.choose.oneIn(8) {
+		digest = 2
+	}
+	first := !e.sent[key] && e.choose(2) == 0
+	e.sent[key] = true
+	e.calls = append(e.calls, h.request(reducer.RequestArrived{
+		Rank: "Once", Key: key, BodyDigest: digest, FirstAttempt: first,
+	}))
+}
+
+// finish ends the faults and gives all requests time to end.
+func (e *explorer) finish() []checker.Violation {
+	e.peerFate, e.attemptFate, e.cutAfter = nil, nil, nil
+	alive := make(map[string]uint64)
+	for _, h := range e.hosts {
+		if h.alive {
+			alive[h.name] = h.incarnation
+			h.pause(0)
+		}
+	}
+	e.runUntil(e.now.Add(30 * time.Second))
+	found := checker.Check(e.trace, checker.Limits{Budget: map[string]float64{"S": 60}})
+	return append(found, checker.Unended(e.trace, alive)...)
+}
+
+func explore(c choose, rewrite func(*world, *parcel)) *explorer {
+	e := newExplorer(c)
+	e.rewrite = rewrite
+	for range 3 + c(20) {
+		e.act()
+	}
+	return e
+}
+
+// TestOnceModel guards against two runs of a key, against a wrong "not run" and
+// against a request without an answer, under any mix of faults.
+func TestOnceModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "choice") }
+		for _, v := range explore(c, nil).finish() {
+			t.Error(v)
+		}
+	})
+}
+
+func random(seed uint64) choose { return rand.New(rand.NewPCG(seed, 1)).IntN }
+
+// variant is a protocol with a fault that some seed has to reveal.
+type variant struct {
+	rewrite   func(_ *world, p *parcel)
+	invariant string
+}
+
+var variants = map[string]variant{
+	"witness grants twice": {func(_ *world, p *parcel) {
+		if m, ok := p.Message.(reducer.Denial); ok && m.Reason == deduplicator.Owned {
+			p.Message = reducer.Grant{Grant: deduplicator.Grant{Key: m.Key, Sequence: m.Sequence}}
+		}
+	}, "I4"},
+	"owner forgets that it dispatched": {func(_ *world, p *parcel) {
+		if m, ok := p.Message.(reducer.FenceAnswer); ok && m.State != deduplicator.Barred {
+			m.State, m.Result = deduplicator.Barred, nil
+			p.Message = m
+		}
+	}, "I4"},
+	"fence forgotten after a restart": {func(w *world, p *parcel) {
+		m, ok := p.Message.(reducer.Fence)
+		if ok && w.host(m.Owner.Name).incarnation != m.Owner.Incarnation {
+			p.answerFence(m)
+		}
+	}, "I4"},
+	"retry without fence": {func(_ *world, p *parcel) {
+		if m, ok := p.Message.(reducer.Fence); ok {
+			p.answerFence(m)
+		}
+	}, "I4"},
+	"result of another key": {func(_ *world, p *parcel) {
+		if m, ok := p.Message.(reducer.Denial); ok && m.Result != nil && m.Result.Kept {
+			r := *m.Result
+			r.Body = []byte("other")
+			m.Result = &r
+			p.Message = m
+		}
+	}, "I2"},
+	"done taken for not run": {func(_ *world, p *parcel) {
+		if m, ok := p.Message.(reducer.Denial); ok && m.Result != nil {
+			m.Result = &deduplicator.Result{Outcome: classifier.OutcomeNotRun}
+			p.Message = m
+		}
+	}, "I3"},
+}
+
+// answerFence turns a fence into an answer that bars the claim without asking its owner.
+func (p *parcel) answerFence(m reducer.Fence) {
+	back := deduplicator.FenceAnswer{Key: m.Key, Owner: m.Owner, State: deduplicator.Barred}
+	p.To, p.Incarnation = p.from, p.fromIncarnation
+	p.from, p.fromIncarnation = m.Owner.Name, m.Owner.Incarnation
+	p.Message = reducer.FenceAnswer{FenceAnswer: back}
+}
+
+const variantSeeds = 3000
+
+// modelSeeds reaches every code in modelCodes; see TestOnceSeeds.
+const modelSeeds = 500
+
+var modelCodes = []classifier.Code{
+	classifier.KeyReused, classifier.KeyExpired, classifier.KeyInProgress, classifier.ResultNotKept,
+	classifier.WitnessSilent, classifier.WitnessLost, classifier.OwnerSilent,
+	classifier.UpstreamRefused, classifier.UpstreamTimeout, classifier.ConnectionLost,
+}
+
+// TestOnceSeeds guards against a model that no longer reaches the cases of the
+// protocol: fixed seeds have to show every code, a transfer and a stored answer.
+func TestOnceSeeds(t *testing.T) {
+	is := is.New(t)
+	codes := make(map[classifier.Code]bool)
+	transfers, stored := 0, 0
+	for seed := range uint64(modelSeeds) {
+		e := explore(random(seed), nil)
+		for _, v := range e.finish() {
+			t.Errorf("seed %d: %s", seed, v)
+		}
+		for _, effect := range e.effects() {
+			switch f := effect.(type) {
+			case reducer.Refuse:
+				codes[f.Code] = true
+			case reducer.AnswerStored:
+				stored++
+			case reducer.Send:
+				if m, ok := f.Message.(reducer.Intent); ok && m.Barred.Name != "" {
+					transfers++
+				}
+			}
+		}
+	}
+	for _, c := range modelCodes {
+		if !codes[c] {
+			t.Errorf("no seed gives %s", c)
+		}
+	}
+	is.True(transfers > 0)
+	is.True(stored > 0)
+}
+
+var (
+	exploreFor  = flag.Duration("explore", 0, "how long TestExplore runs random seeds")
+	exploreSeed = flag.Uint64("seed", 0, "the only seed that TestExplore runs")
+)
+
+// TestExplore guards against what the fixed seeds miss; a failure prints the
+// seed, and -seed runs it alone.
+func TestExplore(t *testing.T) {
+	if *exploreSeed != 0 {
+		exploreOne(t, *exploreSeed)
+		return
+	}
+	end := time.Now().Add(*exploreFor)
+	runs := 0
+	for time.Now().Before(end) && !t.Failed() {
+		exploreOne(t, rand.Uint64())
+		runs++
+	}
+	t.Logf("%d seeds", runs)
+}
+
+func exploreOne(t *testing.T, seed uint64) {
+	for _, v := range explore(random(seed), nil).finish() {
+		t.Errorf("-seed %d: %s", seed, v)
+	}
+}
+
+// TestOnceVariants guards against a model check that can't fail: each broken
+// variant of the protocol has to be found.
+func TestOnceVariants(t *testing.T) {
+	for name, v := range variants {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for seed := range uint64(variantSeeds) {
+				for _, found := range explore(random(seed), v.rewrite).finish() {
+					if found.Invariant == v.invariant {
+						t.Logf("seed %d: %s", seed, found)
+						return
+					}
+				}
+			}
+			is.Fail() // no seed revealed the variant
+		})
+	}
+}
--- /dev/null
+++ b/internal/reducer/onceflow_test.go
@@ -0,0 +1,244 @@
+package reducer_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+)
+
+// flow is a world of entries a, b and c with one key whose witness is c.
+type flow struct {
+	*world
+	key string
+}
+
+func newFlow() *flow {
+	w := newWorld("a", "b", "c")
+	w.configure()
+	return &flow{w, keyAt(w.now, 1, "c", 1)}
+}
+
+func (f *flow) call(name string, first bool) *call {
+	return f.host(name).request(reducer.RequestArrived{Rank: "Once", Key: f.key, BodyDigest: 1, FirstAttempt: first})
+}
+
+func (f *flow) wait(d time.Duration) { f.runUntil(f.now.Add(d)) }
+
+// drop loses all messages of a type from now on.
+func (f *flow) drop(types ...string) {
+	f.peerFate = func(_ string, m reducer.PeerMessage) (fate, time.Duration) {
+		for _, name := range types {
+			if strings.HasSuffix(fmt.Sprintf("%T", m), "."+name) {
+				return fateLost, 0
+			}
+		}
+		return fateOK, 0
+	}
+}
+
+// meets gives every attempt a fate from now on.
+func (f *flow) meets(what fate) { f.attemptFate = func(reducer.Dispatch) fate { return what } }
+
+// result is what a caller got, in one word.
+func (c *call) result() string {
+	switch e := c.end.(type) {
+	case reducer.Relay:
+		return "Relay"
+	case reducer.AnswerStored:
+		return "Stored"
+	case reducer.Refuse:
+		return e.Code.String() + " " + e.Outcome.String()
+	default:
+		return "Open"
+	}
+}
+
+// TestOnceFlows guards against a wrong answer to each way in which a key can be repeated or lost.
+func TestOnceFlows(t *testing.T) {
+	for name, tt := range map[string]struct {
+		run  func(f *flow) []*call
+		want string
+	}{
+		"served": {func(f *flow) []*call { return []*call{f.call("a", true)} }, "Relay"},
+		"repeated at the owner": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("a", false)}
+		}, "Relay, Stored"},
+		"repeated at another entry": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("b", false)}
+		}, "Relay, Stored"},
+		"repeated after the owner's death": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			f.host("a").kill()
+			return []*call{first, f.call("b", false)}
+		}, "Relay, Stored"},
+		"result copy lost": {func(f *flow) []*call {
+			f.drop("ResultCopy")
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("b", false)}
+		}, "Relay, Stored"},
+		"two at the owner": {func(f *flow) []*call {
+			return []*call{f.call("a", true), f.call("a", false), f.call("a", false)}
+		}, "Relay, Stored, Stored"},
+		"two entries at once": {func(f *flow) []*call {
+			f.meets(fateSlow)
+			return []*call{f.call("a", true), f.call("b", false)}
+		}, "Relay, Stored"},
+		"caller gone before the answer": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(3 * time.Millisecond)
+			first.hangUp()
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("b", false)}
+		}, "Open, Stored"},
+		"caller gone before the grant": {func(f *flow) []*call {
+			first := f.call("a", true)
+			first.hangUp()
+			return []*call{first, f.call("b", false)}
+		}, "Open, Relay"},
+		"owner dies after dispatch": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(3 * time.Millisecond)
+			f.host("a").kill()
+			return []*call{first, f.call("b", false)}
+		}, "Open, OwnerSilent Unknown"},
+		"owner restarts": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(3 * time.Millisecond)
+			f.host("a").start()
+			f.introduceAll()
+			return []*call{first, f.call("b", false)}
+		}, "Open, OwnerSilent Unknown"},
+		"witness silent": {func(f *flow) []*call {
+			f.drop("Intent")
+			return []*call{f.call("a", true), f.call("b", false)}
+		}, "WitnessSilent NotRun, WitnessSilent Unknown"},
+		"witness unknown": {func(f *flow) []*call {
+			f.key = keyAt(f.now, 1, "z", 1)
+			return []*call{f.call("a", true), f.call("b", false)}
+		}, "WitnessSilent NotRun, WitnessSilent Unknown"},
+		"witness replaced": {func(f *flow) []*call {
+			f.host("c").start()
+			f.introduceAll()
+			f.wait(50 * time.Millisecond)
+			return []*call{f.call("a", true), f.call("b", false), f.call("c", false)}
+		}, "WitnessLost NotRun, WitnessLost Unknown, WitnessLost Unknown"},
+		"grant lost, then a repeat elsewhere": {func(f *flow) []*call {
+			f.drop("Grant")
+			first := f.call("a", true)
+			f.wait(700 * time.Millisecond)
+			f.drop()
+			return []*call{first, f.call("b", false)}
+		}, "WitnessSilent NotRun, Relay"},
+		"refused upstream, then a repeat": {func(f *flow) []*call {
+			f.meets(fateShed)
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			f.meets(fateOK)
+			return []*call{first, f.call("b", false)}
+		}, "UpstreamRefused NotRun, Relay"},
+		"refused repeat closes the key": {func(f *flow) []*call {
+			f.meets(fateShed)
+			first := f.call("a", false)
+			f.wait(50 * time.Millisecond)
+			f.meets(fateOK)
+			return []*call{first, f.call("a", false), f.call("b", false)}
+		}, "UpstreamRefused NotRun, UpstreamRefused NotRun, UpstreamRefused NotRun"},
+		"connection lost after the run": {func(f *flow) []*call {
+			f.meets(fateRanCut)
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			f.meets(fateOK)
+			return []*call{first, f.call("a", false), f.call("b", false)}
+		}, "ConnectionLost Unknown, ConnectionLost Unknown, ConnectionLost Unknown"},
+		"large answer": {func(f *flow) []*call {
+			f.meets(fateLarge)
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("a", false), f.call("b", false)}
+		}, "Relay, ResultNotKept Done, ResultNotKept Done"},
+		"silent upstream": {func(f *flow) []*call {
+			f.meets(fateSilent)
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			return []*call{first, f.call("b", false)}
+		}, "UpstreamTimeout Unknown, KeyInProgress Unknown"},
+		"other body": {func(f *flow) []*call {
+			first := f.call("a", true)
+			f.wait(50 * time.Millisecond)
+			other := reducer.RequestArrived{Rank: "Once", Key: f.key, BodyDigest: 2}
+			return []*call{first, f.host("a").request(other), f.host("b").request(other)}
+		}, "Relay, KeyReused Unknown, KeyReused Unknown"},
+		"old key": {func(f *flow) []*call {
+			f.wait(deduplicator.Retention)
+			return []*call{f.call("a", true)}
+		}, "KeyExpired Unknown"},
+		"no key, malformed key, unknown rank": {func(f *flow) []*call {
+			a := f.host("a")
+			return []*call{
+				a.request(reducer.RequestArrived{Rank: "Once"}),
+				a.request(reducer.RequestArrived{Rank: "Once", Key: "1"}),
+				a.request(reducer.RequestArrived{Rank: "None", Key: f.key}),
+			}
+		}, "KeyMissing NotRun, KeyMalformed NotRun, UnknownRank Unknown"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFlow()
+			calls := tt.run(f)
+			f.wait(2 * time.Second)
+			var got []string
+			for _, c := range calls {
+				got = append(got, c.result())
+			}
+			is.Equal(strings.Join(got, ", "), tt.want)
+		})
+	}
+}
+
+// TestKeysAsked guards against keys whose witness is the entry itself, is gone
+// or shares the data centre although a better one is known.
+func TestKeysAsked(t *testing.T) {
+	row := func(name, dataCentre string, s gossiper.State, age time.Duration) gossiper.Entry {
+		return gossiper.Entry{Name: name, Incarnation: 1, DataCentre: dataCentre, State: s, HeardAt: epoch.Add(-age)}
+	}
+	near := row("near", "d1", gossiper.Alive, 0)
+	far := row("far", "d2", gossiper.Alive, 2*time.Second)
+	old := row("old", "d2", gossiper.Alive, 3*time.Second)
+	leaving := row("leaving", "d2", gossiper.Leaving, 0)
+	stopped := row("stopped", "d2", gossiper.Stopped, 0)
+	for name, tt := range map[string]struct {
+		entries []gossiper.Entry
+		want    string
+	}{
+		"alone":               {nil, "self"},
+		"other data centre":   {[]gossiper.Entry{near, far, old, leaving, stopped}, "far"},
+		"same data centre":    {[]gossiper.Entry{near, old, leaving, stopped}, "near"},
+		"only a silent entry": {[]gossiper.Entry{old, stopped}, "old"},
+		"only a stopped one":  {[]gossiper.Entry{stopped}, "self"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			n := reducer.New(reducer.Options{Name: "self", Incarnation: 1, DataCentre: "d1"})
+			for _, e := range tt.entries {
+				n.PutEntry(e)
+			}
+			id := strings.Split(keyAt(epoch, 1, "x", 1), "@")[0]
+			effects := n.Step(reducer.KeysAsked{Stamp: reducer.Stamp{Now: epoch}, ID: 7, IDs: []string{id, id}})
+			want := id + "@" + tt.want + ".1"
+			is.Equal(effects, []reducer.Effect{reducer.AnswerKeys{ID: 7, Keys: []string{want, want}}})
+		})
+	}
+}
--- /dev/null
+++ b/internal/reducer/world_test.go
@@ -0,0 +1,367 @@
+package reducer_test
+
+import (
+	"container/heap"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/checker"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// fate is what becomes of a message or an attempt.
+type fate uint8
+
+const (
+	fateOK fate = iota
+	fateLost
+	fateLate
+	fateTwice
+	// The following concern attempts only.
+	fateShed
+	fateUnsent
+	fateCut
+	fateRanCut
+	fateSilent
+	fateSlow
+	fateLarge
+)
+
+// cut says that a host pauses or dies after a step; only the first effects were carried out before.
+type cut struct {
+	effects int
+	pause   time.Duration
+	kill    bool
+}
+
+// world joins nodes by a queue of deliveries, with fakes of the platform log and the upstreams.
+type world struct {
+	now      time.Time
+	tasks    taskHeap
+	sequence int
+	hosts    []*host
+	records  []reducer.Record
+	trace    checker.Trace
+
+	// The faults of a run; a nil function gives none.
+	peerFate    func(to string, m reducer.PeerMessage) (fate, time.Duration)
+	attemptFate func(d reducer.Dispatch) fate
+	cutAfter    func(h *host, ev reducer.Event, effects []reducer.Effect) (cut, bool)
+	// rewrite replaces a message in transit; a broken variant of the protocol is made this way.
+	rewrite  func(w *world, p *parcel)
+	logFate  func() fate
+	draining map[string]bool
+}
+
+// parcel is a message in transit.
+type parcel struct {
+	from            string
+	fromIncarnation uint64
+	reducer.Send
+}
+
+type task struct {
+	at       time.Time
+	sequence int
+	run      func()
+}
+
+type taskHeap []task
+
+func (h taskHeap) Len() int { return len(h) }
+func (h taskHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].sequence < h[j].sequence
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h taskHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *taskHeap) Push(x any)   { *h = append(*h, x.(task)) }
+func (h *taskHeap) Pop() any {
+	old := *h
+	t := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return t
+}
+
+// host is one entry; what its process remembers is lost when it is replaced.
+type host struct {
+	w           *world
+	name        string
+	incarnation uint64
+	node        *reducer.Node
+	skew        time.Duration
+	alive       bool
+	wakeAt      time.Time
+	waiting     []func()
+	timer       int
+	nextID      reducer.RequestID
+	calls       map[reducer.RequestID]*call
+	attempts    map[reducer.AttemptID]bool
+}
+
+// call is a caller's request at one entry.
+type call struct {
+	host  *host
+	id    reducer.RequestID
+	end   reducer.Effect
+	ended bool
+}
+
+func newWorld(names ...string) *world {
+	w := &world{now: epoch, draining: make(map[string]bool)}
+	for _, name := range names {
+		w.hosts = append(w.hosts, &host{w: w, name: name})
+	}
+	return w
+}
+
+func (w *world) after(d time.Duration, run func()) {
+	w.sequence++
+	heap.Push(&w.tasks, task{w.now.Add(d), w.sequence, run})
+}
+
+func (w *world) runUntil(t time.Time) {
+	for len(w.tasks) > 0 && !w.tasks[0].at.After(t) {
+		next := heap.Pop(&w.tasks).(task)
+		w.now = next.at
+		next.run()
+	}
+	w.now = t
+}
+
+// effects returns the effects of all steps.
+func (w *world) effects() []reducer.Effect {
+	var out []reducer.Effect
+	for _, r := range w.trace {
+		if s, ok := r.(checker.Step); ok {
+			out = append(out, s.Effects...)
+		}
+	}
+	return out
+}
+
+func (w *world) host(name string) *host {
+	i := slices.IndexFunc(w.hosts, func(h *host) bool { return h.name == name })
+	return w.hosts[i]
+}
+
+func (h *host) entry() gossiper.Entry {
+	return gossiper.Entry{
+		Name: h.name, Incarnation: h.incarnation, State: gossiper.Alive, HeardAt: h.clock(),
+		PeerAddress: netip.MustParseAddrPort("127.0.0.1:1"), DataCentre: "d" + h.name,
+	}
+}
+
+// start begins a new incarnation without memory.
+func (h *host) start() {
+	h.incarnation++
+	h.alive = true
+	h.wakeAt = time.Time{}
+	h.waiting = nil
+	h.nextID = 0
+	h.calls = make(map[reducer.RequestID]*call)
+	h.attempts = make(map[reducer.AttemptID]bool)
+	e := h.entry()
+	h.node = reducer.New(reducer.Options{
+		Name: h.name, Incarnation: h.incarnation, PeerAddress: e.PeerAddress, DataCentre: e.DataCentre, Seed: 1,
+	})
+	h.carryOut(h.node.Start(h.clock()))
+}
+
+// introduce tells an entry of the current incarnation of another.
+func (h *host) introduce(other *host) {
+	e := other.entry()
+	e.HeardAt = h.clock()
+	h.node.PutEntry(e)
+}
+
+func (w *world) introduceAll() {
+	for _, h := range w.hosts {
+		for _, other := range w.hosts {
+			if h != other && h.alive && other.alive {
+				h.introduce(other)
+			}
+		}
+	}
+}
+
+func (h *host) clock() time.Time { return h.w.now.Add(h.skew) }
+
+func (h *host) stamp() reducer.Stamp { return reducer.Stamp{Now: h.clock()} }
+
+// later runs f for this incarnation after d, and not before the host wakes.
+func (h *host) later(d time.Duration, f func()) {
+	incarnation := h.incarnation
+	h.w.after(d, func() {
+		if h.alive && h.incarnation == incarnation {
+			h.do(f)
+		}
+	})
+}
+
+func (h *host) do(f func()) {
+	if h.w.now.Before(h.wakeAt) {
+		h.waiting = append(h.waiting, f)
+		return
+	}
+	f()
+}
+
+func (h *host) pause(d time.Duration) {
+	h.wakeAt = h.w.now.Add(d)
+	incarnation := h.incarnation
+	h.w.after(d, func() {
+		if !h.alive || h.incarnation != incarnation || h.w.now.Before(h.wakeAt) {
+			return
+		}
+		for len(h.waiting) > 0 && h.alive && !h.w.now.Before(h.wakeAt) {
+			f := h.waiting[0]
+			h.waiting = h.waiting[1:]
+			f()
+		}
+	})
+}
+
+func (h *host) kill() {
+	h.alive = false
+	h.waiting = nil
+}
+
+func (h *host) step(ev reducer.Event) {
+	effects := h.node.Step(ev)
+	h.w.trace = append(h.w.trace, checker.Step{
+		At: h.w.now, Node: h.name, Incarnation: h.incarnation,
+		Event: ev, Effects: effects, Version: h.node.Config().Version,
+	})
+	if h.w.cutAfter != nil {
+		if c, ok := h.w.cutAfter(h, ev, effects); ok {
+			h.interrupt(c, effects)
+			return
+		}
+	}
+	h.carryOut(effects)
+}
+
+func (h *host) interrupt(c cut, effects []reducer.Effect) {
+	n := min(c.effects, len(effects))
+	h.carryOut(effects[:n])
+	if c.kill {
+		h.kill()
+		return
+	}
+	h.waiting = append([]func(){func() { h.carryOut(effects[n:]) }}, h.waiting...)
+	h.pause(c.pause)
+}
+
+func (h *host) carryOut(effects []reducer.Effect) {
+	for _, e := range effects {
+		switch e := e.(type) {
+		case reducer.Dispatch:
+			h.dispatch(e)
+		case reducer.Cancel:
+			delete(h.attempts, e.Attempt)
+		case reducer.Relay:
+			h.end(e.Attempt.Request, e)
+		case reducer.Refuse:
+			h.end(e.ID, e)
+		case reducer.AnswerStored:
+			h.end(e.ID, e)
+		case reducer.AnswerPatch:
+			h.end(e.ID, e)
+		case reducer.AnswerKeys:
+			h.end(e.ID, e)
+		case reducer.Send:
+			h.send(e)
+		case reducer.ReadLog:
+			h.readLog(e)
+		case reducer.Append:
+			h.append(e)
+		case reducer.SetTimer:
+			h.setTimer(e.Deadline)
+		case reducer.Probe:
+			h.later(time.Millisecond, func() {
+				h.step(reducer.ProbeAnswered{Stamp: h.stamp(), Service: e.Service, Upstream: e.Upstream, OK: true})
+			})
+		}
+	}
+}
+
+func (h *host) end(id reducer.RequestID, e reducer.Effect) {
+	if c, ok := h.calls[id]; ok {
+		delete(h.calls, id)
+		c.end = e
+		c.ended = true
+	}
+}
+
+func (h *host) setTimer(deadline time.Time) {
+	h.timer++
+	generation := h.timer
+	h.later(max(0, deadline.Sub(h.clock())), func() {
+		if h.timer == generation {
+			h.step(reducer.TimerFired{Stamp: h.stamp()})
+		}
+	})
+}
+
+func (h *host) send(e reducer.Send) {
+	w := h.w
+	p := parcel{h.name, h.incarnation, e}
+	if w.rewrite != nil {
+		w.rewrite(w, &p)
+	}
+	what, late := fateOK, time.Duration(0)
+	if w.peerFate != nil {
+		what, late = w.peerFate(p.To, p.Message)
+	}
+	if what == fateLost {
+		return
+	}
+	w.after(time.Millisecond+late, func() { w.deliver(p) })
+	if what == fateTwice {
+		w.after(2*time.Millisecond+2*late, func() { w.deliver(p) })
+	}
+}
+
+func (w *world) deliver(p parcel) {
+	to := w.host(p.To)
+	if !to.alive || p.Incarnation != 0 && p.Incarnation != to.incarnation {
+		return
+	}
+	to.do(func() {
+		to.step(reducer.PeerMessageReceived{
+			Stamp: to.stamp(), From: p.from, FromIncarnation: p.fromIncarnation, Message: p.Message,
+		})
+	})
+}
+
+// request delivers a caller's request to an entry.
+func (h *host) request(ev reducer.RequestArrived) *call {
+	c := &call{host: h}
+	h.do(func() {
+		h.nextID++
+		c.id = h.nextID
+		h.calls[c.id] = c
+		ev.Stamp = h.stamp()
+		ev.ID = c.id
+		ev.Service = "S"
+		ev.Replayable = true
+		h.step(ev)
+	})
+	return c
+}
+
+func (c *call) hangUp() {
+	h := c.host
+	h.do(func() {
+		if h.calls[c.id] == c {
+			delete(h.calls, c.id)
+			h.step(reducer.CallerGone{Stamp: h.stamp(), ID: c.id})
+		}
+	})
+}
