--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -49,7 +49,7 @@
 
 func (n *Node) requestArrived(ev RequestArrived) {
 	if code := n.refusal(); code != classifier.OK {
-		n.refuse(ev.ID, code)
+		n.refuseArrival(ev, code)
 		return
 	}
 	s, ok := n.services[ev.Service]
--- a/pkg/caller/do.go
+++ b/pkg/caller/do.go
@@ -107,17 +107,16 @@
 	return len(w.tried) < 2 || wait(ctx, len(w.tried)-2)
 }
 
-// renewKey takes another key if the witness of this one can't be asked. That is
-// safe only while no attempt can have run; with the old key, no further entry
-// could tell that.
+// renewKey takes another key after attempts that certainly did not run. With
+// the old key a further entry would have to ask the witness, which may be lost,
+// and a key that was refused as not run twice stays refused.
 func (w *work) renewKey(ctx context.Context, code classifier.Code) {
 	if !w.request.OnceOnly || !w.fresh || w.outcome != classifier.OutcomeNotRun {
 		return
 	}
-	if code != classifier.WitnessSilent && code != classifier.WitnessLost {
-		return
+	if code == classifier.WitnessSilent || code == classifier.WitnessLost {
+		w.client.keys.drop()
 	}
-	w.client.keys.drop()
 	key, err := w.client.Key(ctx)
 	if err != nil {
 		return
