--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -6,6 +6,7 @@
 
 	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
 const (
@@ -68,15 +69,17 @@
 
 // arrivalOutcome is that of a request refused before its key was looked at: an
 // earlier attempt with the key may have run.
-func arrivalOutcome(ev RequestArrived) classifier.Outcome {
-	if ev.Key == "" || ev.FirstAttempt {
+func (n *Node) arrivalOutcome(ev RequestArrived) classifier.Outcome {
+	rank, code := n.Rank(ev.Service, ev.Rank)
+	idempotent := code == classifier.OK && rank.Kind == patcher.Idempotent
+	if idempotent || ev.Key == "" || ev.FirstAttempt {
 		return classifier.OutcomeNotRun
 	}
 	return classifier.OutcomeUnknown
 }
 
 func (n *Node) refuseArrival(ev RequestArrived, code classifier.Code) {
-	n.emit(Refuse{ID: ev.ID, Code: code, Outcome: arrivalOutcome(ev)})
+	n.emit(Refuse{ID: ev.ID, Code: code, Outcome: n.arrivalOutcome(ev)})
 }
 
 func (n *Node) onceArrived(r *request, ev RequestArrived) {
@@ -162,9 +165,9 @@
 func (n *Node) onceRefuse(r *request, code classifier.Code) {
 	outcome := classifier.OutcomeUnknown
 	record := r.once.claim.record
+	code = r.once.refusalCode(code)
 	switch {
 	case r.once.stage == stageWaiting:
-		code = classifier.KeyInProgress
 	case r.mayHaveRun:
 		n.onceFinish(r, deduplicator.Result{Outcome: outcome, Code: code})
 	case record.Granted():
@@ -181,6 +184,18 @@
 	n.end(r)
 }
 
+// refusalCode names what a request waited for when its deadline passed.
+func (o *onceRequest) refusalCode(code classifier.Code) classifier.Code {
+	switch {
+	case o.stage == stageWaiting, o.stage == stageFencing && code == classifier.DeadlinePassed:
+		return classifier.KeyInProgress
+	case o.stage == stageAsking && code == classifier.DeadlinePassed:
+		return classifier.WitnessSilent
+	default:
+		return code
+	}
+}
+
 // onceAnswer gives a request the result of an earlier attempt.
 func (n *Node) onceAnswer(r *request, result deduplicator.Result) {
 	switch {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -55,7 +55,7 @@
 
 func (n *Node) requestArrived(ev RequestArrived) {
 	if code := n.refusal(); code != classifier.OK {
-		n.refuse(ev.ID, code)
+		n.refuseArrival(ev, code)
 		return
 	}
 	s, ok := n.services[ev.Service]
