Refuse a request at once when every upstream has refused it

Cause: on the merged code a once-only request that all upstreams had refused waited in the queue until its deadline, since no upstream may get it twice; repeats of its key were answered KeyInProgress meanwhile. Found by TestOnceFlows and TestOnceSeeds. Change: a request has at most as many attempts as the service has upstreams. Conclusion: the caller gets UpstreamRefused as not run within milliseconds.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -142,6 +142,9 @@
 	p.strides = p.newStrides()
 }
 
+// Len returns the number of upstreams in the configuration.
+func (p *Pool) Len() int { return len(p.upstreams) }
+
 // Pick reserves a slot on an upstream; it fails if none has room. It compares a
 // few random upstreams (power of d choices, Mitzenmacher 2001), so that several
 // entries with the same knowledge do not all choose the same one.
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -315,8 +315,9 @@
 func (r *request) idempotent() bool { return r.rank.Kind == patcher.Idempotent }
 
 // canRepeat reports whether a request can be sent again, apart from whether that is safe.
+// Each attempt needs an upstream that had none before.
 func (n *Node) canRepeat(r *request) bool {
-	limit := maxAttempts + min(r.notRun, maxNotRun)
+	limit := min(maxAttempts+min(r.notRun, maxNotRun), r.service.pool.Len())
 	return r.replayable && len(r.attempts) < limit && n.now.Before(r.deadline)
 }
 
