--- /dev/null
+++ b/internal/sizer/doc.go
@@ -0,0 +1,2 @@
+// Package sizer works out what the target size needs from measured slopes.
+package sizer
