Measure bytes and processor time of peer messages

Cause: the 3 KB/s of control traffic were never compared with encoded messages. Change: slope tests encode whole exchanges with 6, 60 and 240 known entries and the once-only messages, and count bytes, memory and processor time of secured connections and of messages on them.

--- /dev/null
+++ b/internal/messenger/slope_test.go
@@ -0,0 +1,218 @@
+package messenger
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/internal/sizer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+)
+
+func slopeEntry(now time.Time, i int) gossiper.Entry {
+	address := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+	return gossiper.Entry{
+		Name: fmt.Sprintf("entry-%03d", i), Incarnation: uint64(now.UnixMilli())<<8 + 1,
+		PeerAddress: netip.AddrPortFrom(address, 7000), CallerAddress: netip.AddrPortFrom(address, 8000),
+		DataCentre: fmt.Sprintf("region-%d-dc-%02d", i%4, i%14), State: gossiper.Alive,
+		Version: 1000, HeardAt: now.Add(-time.Duration(i) * 10 * time.Millisecond), InFlight: 300, Listed: true,
+	}
+}
+
+func slopeView(now time.Time, self, entries int) *gossiper.View {
+	v := gossiper.NewView(slopeEntry(now, self))
+	for i := range entries {
+		if i != self {
+			v.Put(slopeEntry(now, i))
+		}
+	}
+	v.Listed(now, nil)
+	v.Update(now, gossiper.Alive, 1000, 300, false)
+	return v
+}
+
+// sizeOf returns the bytes of a batch that carries one message.
+func sizeOf(t *testing.T, m reducer.PeerMessage) int {
+	t.Helper()
+	w, err := encode(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b, err := encoding{}.Marshal(&batch{From: "entry-017", FromIncarnation: 1 << 48, ForIncarnation: 1 << 48, Messages: []wireMessage{w}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return len(b)
+}
+
+// TestSlopeExchange guards against an exchange whose size grows with the
+// entries beyond the fixed number of rows.
+func TestSlopeExchange(t *testing.T) {
+	is := is.New(t)
+	// Beyond MaxRows entries, only integers with a longer encoding may add to an exchange.
+	const most = 1.1
+	sizes := make(map[int]int)
+	for _, entries := range []int{6, 60, 240} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		random := rand.New(rand.NewPCG(1, 1))
+		a, b := slopeView(now, 0, entries), slopeView(now, 1, entries)
+		facts := gossiper.Facts{Next: 100_000, LogAt: now.Add(-time.Second)}
+		total := 0
+		var echo uint32
+		for _, step := range []gossiper.Step{gossiper.Ask, gossiper.Reply, gossiper.Close} {
+			m := a.Compose(now, step, b.Self().Name, echo, facts, random)
+			echo = m.Sequence
+			a, b = b, a
+			total += sizeOf(t, reducer.Exchange{Exchange: m})
+		}
+		sizes[entries] = total
+		t.Log(sizer.Sample{Quantity: "exchange-bytes", Size: entries, Value: float64(total)})
+	}
+	is.True(float64(sizes[240]) <= most*float64(sizes[60]))
+}
+
+// TestSlopeOnceOnly reports the bytes between owner and witness for one key, by
+// the size of the answer, and guards against an encoding that inflates bodies.
+func TestSlopeOnceOnly(t *testing.T) {
+	is := is.New(t)
+	const key = "0198f5a0-0000-7000-8000-000000000001@entry-017.2199023255552"
+	owner := deduplicator.Holder{Name: "entry-018", Incarnation: 1 << 48, Sequence: 70_000}
+	sizes := make(map[int]int)
+	for _, body := range []int{100, 1000, 10_000} {
+		result := deduplicator.Result{
+			Outcome: classifier.OutcomeDone, Status: 200, ContentType: "application/json", Kept: true, Body: make([]byte, body),
+		}
+		for _, m := range []reducer.PeerMessage{
+			reducer.Intent{Intent: deduplicator.Intent{Key: key, BodyDigest: 1 << 60, Owner: owner}},
+			reducer.Grant{Grant: deduplicator.Grant{Key: key, Sequence: 70_000}},
+			reducer.ResultCopy{ResultCopy: deduplicator.ResultCopy{Key: key, Owner: owner, Result: result}},
+		} {
+			sizes[body] += sizeOf(t, m)
+		}
+		t.Log(sizer.Sample{Quantity: "once-only-bytes", Size: body, Value: float64(sizes[body])})
+	}
+	is.True(sizes[10_000]-sizes[1000] < 9000*11/10)
+}
+
+// countingListener counts the bytes of both directions of its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c, l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// TestSlopeConnections reports the bytes and the memory of secured peer
+// connections, both ends in this process, and guards against a connection that
+// costs more the more there are.
+func TestSlopeConnections(t *testing.T) {
+	const most = 1.5
+	perConn := make(map[int]float64)
+	counts := []int{8, 32, 96}
+	ca := newAuthority(t)
+	server, err := LoadCertificates(ca.write(t, t.TempDir(), "b"), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	client, err := LoadCertificates(ca.write(t, t.TempDir(), "a"), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, count := range counts {
+		in := newInbox()
+		lis, address := listen(t)
+		var bytes atomic.Int64
+		b := New(Options{Name: "b", Incarnation: 1, Certificates: server}, in)
+		b.Serve(countingListener{lis, &bytes})
+		var senders []*Messenger
+		begun := processorTime()
+		memory := sizer.Retained(func() any {
+			for range count {
+				a := New(Options{Name: "a", Incarnation: 1, Certificates: client}, in)
+				a.Send(reducer.Send{To: "b", Address: address, Message: request(1)})
+				senders = append(senders, a)
+				next(t, in.messages)
+			}
+			return senders
+		})
+		perConn[count] = memory / float64(count)
+		t.Log(sizer.Sample{Quantity: "peer-connection-bytes", Size: count, Value: memory})
+		t.Log(sizer.Sample{Quantity: "peer-handshake-bytes", Size: count, Value: float64(bytes.Load())})
+		t.Log(sizer.Sample{Quantity: "peer-handshake-us", Size: count, Value: float64((processorTime() - begun).Microseconds())})
+		for _, a := range slices.Backward(senders) {
+			a.Close()
+		}
+		b.Close()
+	}
+	is.New(t).True(perConn[96] <= most*perConn[8])
+}
+
+// TestSlopeMessages reports the processor time of messages that go one by one
+// over a secured connection, both ends in this process, and guards against a
+// message that costs more the more have passed.
+func TestSlopeMessages(t *testing.T) {
+	const most = 1.5
+	ca := newAuthority(t)
+	perMessage := make(map[int]float64)
+	certificates, err := LoadCertificates(ca.write(t, t.TempDir(), "a"), zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, in, address := start(t, "a", 1, certificates)
+	send := func(count int) {
+		for range count {
+			a.Send(reducer.Send{To: "a", Address: address, Message: request(1)})
+			next(t, in.messages)
+		}
+	}
+	send(100)
+	for _, count := range []int{500, 2000, 8000} {
+		begun := processorTime()
+		send(count)
+		used := processorTime() - begun
+		perMessage[count] = float64(used) / float64(count)
+		t.Log(sizer.Sample{Quantity: "peer-message-us", Size: count, Value: float64(used.Microseconds())})
+	}
+	is.New(t).True(perMessage[8000] <= most*perMessage[500])
+}
