Measure bytes of log reads, appends and the host list

Cause: every entry reads the platform at fixed intervals whatever the size. Change: slope tests count the bytes of reads and appends over loopback.

--- /dev/null
+++ b/internal/recorder/slope_test.go
@@ -0,0 +1,161 @@
+package recorder_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/internal/faker"
+	"github.com/azuretrestle/azuretrestle/internal/recorder"
+	"github.com/azuretrestle/azuretrestle/internal/sizer"
+)
+
+// countingListener counts the bytes of both directions of its connections.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c, l.bytes}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// slopeHosts has names and addresses of the length that a fleet of 14 data centres uses.
+func slopeHosts(count int) []faker.Host {
+	var out []faker.Host
+	for i := range count {
+		out = append(out, faker.Host{
+			Name:       fmt.Sprintf("server-%04d", i),
+			Address:    netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 8080),
+			DataCentre: fmt.Sprintf("region-%d-dc-%02d", i%4, i%14), Role: fmt.Sprintf("Service%03d", i%100),
+		})
+	}
+	return out
+}
+
+// platformBytes starts a client and returns a function that gives the bytes
+// that one use of it takes, on a connection that is open already.
+func platformBytes(t *testing.T, list *faker.List, log *faker.Log) func(use func(*recorder.Client) error) float64 {
+	t.Helper()
+	var bytes atomic.Int64
+	counted := func() net.Listener {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return countingListener{lis, &bytes}
+	}
+	l, h := faker.Start(counted(), log.Handler()), faker.Start(counted(), list.Handler())
+	c := recorder.NewClient(l.Address(), h.Address())
+	t.Cleanup(func() {
+		c.Close()
+		l.Close()
+		h.Close()
+	})
+	return func(use func(*recorder.Client) error) float64 {
+		if err := use(c); err != nil {
+			t.Fatal(err)
+		}
+		before := bytes.Load()
+		if err := use(c); err != nil {
+			t.Fatal(err)
+		}
+		return float64(bytes.Load() - before)
+	}
+}
+
+// TestSlopeHostList reports the bytes of one read of the host list. The list
+// holds all servers, so that its size grows with them; more than in proportion is a fault.
+func TestSlopeHostList(t *testing.T) {
+	const most = 1.1
+	perHost := make(map[int]float64)
+	for _, hosts := range []int{13, 130, 1300} {
+		list := new(faker.List)
+		list.Set(slopeHosts(hosts))
+		measure := platformBytes(t, list, faker.NewLog())
+		n := measure(func(c *recorder.Client) error {
+			_, err := c.Hosts(context.Background())
+			return err
+		})
+		took := sizer.Fastest(20, func() {
+			measure(func(c *recorder.Client) error {
+				_, err := c.Hosts(context.Background())
+				return err
+			})
+		})
+		// Two reads, each with the work of the stand-in.
+		t.Log(sizer.Sample{Quantity: "host-list-us", Size: hosts, Value: float64(took.Microseconds()) / 2})
+		perHost[hosts] = n / float64(hosts)
+		t.Log(sizer.Sample{Quantity: "host-list-bytes", Size: hosts, Value: n})
+	}
+	is.New(t).True(perHost[1300] <= most*perHost[13])
+}
+
+// TestSlopeLog reports the bytes of reads and appends, and guards against a
+// read at the tail that grows with the records that the log holds.
+func TestSlopeLog(t *testing.T) {
+	is := is.New(t)
+	const most = 1.1
+	reads := make(map[int]float64)
+	for _, records := range []int{1, 16, 256} {
+		measure := platformBytes(t, new(faker.List), faker.NewLog())
+		batch := make([]auditor.Entry, records)
+		for i := range batch {
+			batch[i] = auditor.Entry{
+				At: time.Date(2026, 1, 1, 0, 0, 0, 1, time.UTC), Actor: "entry-017", Action: "MemberSilent",
+				Subject: "entry-018", Cause: "no sign of life", Version: 1000, Origin: auditor.Origin("entry-017", 1<<48, 1000),
+			}
+		}
+		var buffer auditor.Buffer
+		for _, e := range batch {
+			buffer.Add(e)
+		}
+		payload, ok := buffer.Next(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC))
+		is.True(ok)
+		appended := measure(func(c *recorder.Client) error {
+			_, err := c.Append(context.Background(), auditor.Stream, payload)
+			return err
+		})
+		for range records {
+			measure(func(c *recorder.Client) error {
+				_, err := c.Append(context.Background(), "Config", []byte("{}"))
+				return err
+			})
+		}
+		reads[records] = measure(func(c *recorder.Client) error {
+			_, err := c.Read(context.Background(), "Config", 1<<30)
+			return err
+		})
+		t.Log(sizer.Sample{Quantity: "audit-append-bytes", Size: records, Value: appended})
+		t.Log(sizer.Sample{Quantity: "tail-read-bytes", Size: records, Value: reads[records]})
+	}
+	is.True(reads[256] <= most*reads[1])
+}
