Measure the age of evidence over the number of entries

Cause: a digest of 16 rows and 4 exchanges a second bring at most 128 rows in the 2 s that evidence (b) is valid, whatever the number of entries. Change: TestSlopeEvidence lets views exchange digests in virtual time with 6 to 240 entries, also with a region lost, and bounds the age of the majority's evidence at 99 in 100 to 2 s. TestSlopeView bounds the memory of a view.

--- /dev/null
+++ b/internal/gossiper/slope_test.go
@@ -0,0 +1,172 @@
+package gossiper_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
+	"github.com/azuretrestle/azuretrestle/internal/sizer"
+)
+
+// slopeRound is the reducer's interval between two exchanges of an entry.
+const slopeRound = 500 * time.Millisecond
+
+func slopeEntry(now time.Time, i int) gossiper.Entry {
+	address := netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)})
+	return gossiper.Entry{
+		Name: fmt.Sprintf("entry-%03d", i), Incarnation: uint64(now.UnixMilli())<<8 + 1,
+		PeerAddress: netip.AddrPortFrom(address, 7000), CallerAddress: netip.AddrPortFrom(address, 8000),
+		DataCentre: fmt.Sprintf("region-%d-dc-%02d", i%4, i%14), State: gossiper.Alive,
+		Version: 1, HeardAt: now, AskedAt: now, KnownAt: now, ChangedAt: now, Listed: true,
+	}
+}
+
+// slopeViews returns views that all know each other.
+func slopeViews(now time.Time, entries int) []*gossiper.View {
+	views := make([]*gossiper.View, entries)
+	for i := range views {
+		views[i] = slopeView(now, i, entries)
+	}
+	return views
+}
+
+func slopeView(now time.Time, self, entries int) *gossiper.View {
+	v := gossiper.NewView(slopeEntry(now, self))
+	for i := range entries {
+		if i != self {
+			v.Put(slopeEntry(now, i))
+		}
+	}
+	v.Listed(now, nil)
+	v.Update(now, gossiper.Alive, 1, 10, false)
+	return v
+}
+
+// slopeExchange passes the three messages of an exchange without delay.
+func slopeExchange(now time.Time, from, to *gossiper.View, random *rand.Rand) {
+	ask := from.Compose(now, gossiper.Ask, to.Self().Name, 0, gossiper.Facts{}, random)
+	to.Update(now, gossiper.Alive, 1, 10, false)
+	to.Take(now, ask)
+	reply := to.Compose(now, gossiper.Reply, from.Self().Name, ask.Sequence, gossiper.Facts{}, random)
+	from.Update(now, gossiper.Alive, 1, 10, false)
+	from.Take(now, reply)
+	last := from.Compose(now, gossiper.Close, to.Self().Name, reply.Sequence, gossiper.Facts{}, random)
+	to.Take(now, last)
+}
+
+// evidenceAges returns the ages of the evidence from a majority at the entries
+// that run, sorted, and the share of running entries that they suspect. No message between them is late; one entry in each lost is
+// silent from the start, none if lost is 0.
+func evidenceAges(entries, lost int) (ages []time.Duration, suspected float64) {
+	const step, sample = 50 * time.Millisecond, 250 * time.Millisecond
+	const settle, total = 6 * time.Second, 12 * time.Second
+	random := rand.New(rand.NewPCG(1, uint64(entries)))
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	views := slopeViews(start, entries)
+	phase := make([]time.Duration, entries)
+	for i := range phase {
+		phase[i] = time.Duration(random.IntN(int(slopeRound/step))) * step
+	}
+	rows, late := 0, 0
+	for t := time.Duration(0); t < total; t += step {
+		now := start.Add(t)
+		for i, v := range views {
+			if silent(i, lost) {
+				continue
+			}
+			if t%slopeRound == phase[i] {
+				v.Update(now, gossiper.Alive, 1, 10, false)
+				for _, target := range v.Next(now, random) {
+					slopeTo(now, v, views, target, lost, random)
+				}
+			}
+			if t >= settle && t%sample == 0 {
+				ages = append(ages, now.Sub(v.HeardMajority(now)))
+				for j, e := range v.Entries() {
+					if j != i && !silent(j, lost) {
+						rows++
+						late += count(e.Suspected(now))
+					}
+				}
+			}
+		}
+	}
+	slices.Sort(ages)
+	return ages, 100 * float64(late) / float64(rows)
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func silent(i, lost int) bool { return lost > 0 && i%lost == 0 }
+
+func slopeTo(now time.Time, v *gossiper.View, views []*gossiper.View, target gossiper.Target, lost int, random *rand.Rand) {
+	i := slices.IndexFunc(views, func(o *gossiper.View) bool { return o.Self().PeerAddress == target.Address })
+	if i >= 0 && !silent(i, lost) {
+		slopeExchange(now, v, views[i], random)
+	}
+}
+
+// TestSlopeEvidence guards against a number of entries at which a digest of
+// fixed size no longer renews the evidence from a majority within the 2 s that
+// it is valid. In an outage of the log, an entry without it refuses all calls;
+// that must not happen to more than 1 in 100, nor while a region of 4 is lost.
+func TestSlopeEvidence(t *testing.T) {
+	const valid = 2 * time.Second
+	for _, c := range []struct {
+		name    string
+		lost    int
+		entries int
+	}{
+		{"All", 0, 6},
+		{"All", 0, 24},
+		{"All", 0, 60},
+		{"All", 0, 120},
+		{"All", 0, 240},
+		{"RegionLost", 4, 24},
+		{"RegionLost", 4, 36},
+		{"RegionLost", 4, 48},
+		{"RegionLost", 4, 60},
+	} {
+		t.Run(fmt.Sprint(c.name, c.entries), func(t *testing.T) {
+			ages, suspected := evidenceAges(c.entries, c.lost)
+			median, high := ages[len(ages)/2], ages[len(ages)*99/100]
+			late := len(ages) - sort.Search(len(ages), func(i int) bool { return ages[i] > valid })
+			t.Log(sizer.Sample{Quantity: "evidence-" + c.name + "-p50-ms", Size: c.entries, Value: float64(median.Milliseconds())})
+			t.Log(sizer.Sample{Quantity: "evidence-" + c.name + "-p99-ms", Size: c.entries, Value: float64(high.Milliseconds())})
+			t.Log(sizer.Sample{Quantity: "evidence-" + c.name + "-late-%", Size: c.entries, Value: float64(100*late) / float64(len(ages))})
+			t.Log(sizer.Sample{Quantity: "evidence-" + c.name + "-suspected-%", Size: c.entries, Value: suspected})
+			is.New(t).True(high <= valid)
+		})
+	}
+}
+
+// TestSlopeView guards against an exchange whose allocations grow with the
+// square of the entries, and reports the memory of a view.
+func TestSlopeView(t *testing.T) {
+	is := is.New(t)
+	const most = 1.5
+	perEntry := make(map[int]float64)
+	for _, entries := range []int{6, 60, 240} {
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		random := rand.New(rand.NewPCG(1, 1))
+		a, b := slopeView(now, 0, entries), slopeView(now, 1, entries)
+		allocations := testing.AllocsPerRun(100, func() { slopeExchange(now, a, b, random) })
+		bytes := sizer.Retained(func() any { return slopeView(now, 0, entries) })
+		perEntry[entries] = bytes / float64(entries)
+		t.Log(sizer.Sample{Quantity: "exchange-allocations", Size: entries, Value: allocations})
+		t.Log(sizer.Sample{Quantity: "view-bytes", Size: entries, Value: bytes})
+	}
+	is.True(perEntry[240] <= most*perEntry[60])
+}
