--- a/internal/gossiper/slope_test.go
+++ b/internal/gossiper/slope_test.go
@@ -88,7 +88,7 @@
 				}
 			}
 			if t >= settle && t%sample == 0 {
-				ages = append(ages, now.Sub(v.HeardMajority(now)))
+				ages = append(ages, now.Sub(v.Majority(now).At))
 				for j, e := range v.Entries() {
 					if j != i && !silent(j, lost) {
 						rows++
