Count and range over members without copying their rows

Cause: each probe copied all rows to find the node's position, and each record about a silent entry copied all alive rows. Change: View.Before counts; View.All yields rows without a slice. Both replace the copies in probes, the silence report, fetching and auditShared.

--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"iter"
 	"net/netip"
 	"slices"
 	"strings"
@@ -200,6 +201,32 @@
 	return out
 }
 
+// Before returns the number of entries that come before the entry itself by
+// name and have not stopped. It copies no rows, since it is called for each probe.
+func (v *View) Before() int {
+	count := 0
+	for _, e := range v.entries {
+		if e.Name == v.self {
+			break
+		}
+		if e.State != Stopped {
+			count++
+		}
+	}
+	return count
+}
+
+// All yields the rows in the order of names. The view must not change meanwhile.
+func (v *View) All() iter.Seq[Entry] {
+	return func(yield func(Entry) bool) {
+		for _, e := range v.entries {
+			if !yield(*e) {
+				return
+			}
+		}
+	}
+}
+
 // Alive returns the entries that are alive and not suspected, sorted by name.
 func (v *View) Alive(now time.Time) []Entry {
 	var out []Entry
--- a/internal/reducer/audit.go
+++ b/internal/reducer/audit.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 )
 
 const (
@@ -43,7 +44,11 @@
 	key := e.Action + "/" + e.Subject + "/"
 	best := n.Name
 	lowest := xxhash.Sum64String(key + n.Name)
-	for _, a := range n.view.Alive(n.now) {
+	// Alive would copy all rows for each entry of a region that falls silent.
+	for a := range n.view.All() {
+		if a.State != gossiper.Alive || a.Suspected(n.now) && a.Name != n.Name {
+			continue
+		}
 		if h := xxhash.Sum64String(key + a.Name); h < lowest {
 			best = a.Name
 			lowest = h
--- a/internal/reducer/config.go
+++ b/internal/reducer/config.go
@@ -175,7 +175,7 @@
 		return
 	}
 	var best gossiper.Entry
-	for _, e := range n.view.Entries() {
+	for e := range n.view.All() {
 		if e.Version > have && e.Name != n.Name && e.HeardAt.After(best.HeardAt) {
 			best = e
 		}
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -196,7 +196,7 @@
 	if n.members.resumedAt.After(before) {
 		return
 	}
-	for _, e := range n.view.Entries() {
+	for e := range n.view.All() {
 		if e.Name == n.Name || e.HeardAt.IsZero() {
 			continue
 		}
--- a/internal/reducer/probe.go
+++ b/internal/reducer/probe.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
 
@@ -65,7 +64,7 @@
 		return
 	}
 	s.probeAt(n.now.Add(time.Second/time.Duration(probeShare(&s.config)) + probeMargin))
-	if n.position() >= s.config.MaxEntries {
+	if n.view.Before() >= s.config.MaxEntries {
 		return
 	}
 	if p, ok := s.pool.NextProbe(n.now); ok {
@@ -73,17 +72,6 @@
 	}
 }
 
-// position is the number of known running entries that come before this one by name.
-func (n *Node) position() int {
-	i := 0
-	for _, e := range n.view.Entries() {
-		if e.Name < n.Name && e.State != gossiper.Stopped {
-			i++
-		}
-	}
-	return i
-}
-
 func (n *Node) probeAnswered(ev ProbeAnswered) {
 	s, ok := n.services[ev.Service]
 	if !ok {
