Ask unresolved seeds for the version of a pending patch

Cause: a trace showed that the submitter waited for seeds that it knew by address only. No host list had been read, and confirm skipped them, since they have no row in the view. This failed TestSlopePatch and the first patch of each case of TestRegionCut; the periods were not the reason. Change: confirm asks such seeds by their address. The race run without slope tests passed in gossiper and did not finish within 50 s in reducer. Traffic of the added questions was not measured.

--- a/internal/reducer/patch.go
+++ b/internal/reducer/patch.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
@@ -145,7 +146,8 @@
 }
 
 // confirm asks entries that have not confirmed an accepted patch directly, since
-// digests take long to tell the versions of many entries.
+// digests take long to tell the versions of many entries. Until a host list was
+// read, seeds that never answered are waited for too; they are asked by address.
 func (n *Node) confirm() {
 	for _, id := range sortedKeys(n.config.patches) {
 		s := n.config.patches[id]
@@ -155,14 +157,25 @@
 		names := n.waitingFor(s)
 		n.random.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
 		for _, name := range names[:min(len(names), maxConfirm)] {
-			if e, ok := n.view.Find(name); ok && e.Incarnation != 0 {
-				n.ask(gossiper.Target{Name: name, Incarnation: e.Incarnation, Address: e.PeerAddress})
-			}
+			n.askWaited(name)
 		}
 		return
 	}
 }
 
+func (n *Node) askWaited(name string) {
+	if e, ok := n.view.Find(name); ok {
+		if e.Incarnation != 0 {
+			n.ask(gossiper.Target{Name: name, Incarnation: e.Incarnation, Address: e.PeerAddress})
+		}
+		return
+	}
+	// Known names an unresolved seed by its address.
+	if seed, err := netip.ParseAddrPort(name); err == nil {
+		n.ask(gossiper.Target{Address: seed})
+	}
+}
+
 func refusedPatch(f versioner.Folded) AnswerPatch {
 	a := AnswerPatch{Code: classifier.PatchInvalid, Version: f.Version, Detail: f.Problem}
 	if f.Stale {
