Count control traffic at its sender and once-only work on the data path

Cause: TestBounds counted each byte at both ends, read the host list every 5 s, and took the tables and messages of once-only calls for control. Change: bytes between entries count once, at the sender. The host list counts every 300 ms a line, as the reducer reads it. Once-only rows are state of requests in progress and their results and move to DataPath. The tables take 98,304 keys in place of 32,768, so that 107 keys a second fit for 11 minutes.

--- a/internal/deduplicator/limit.go
+++ b/internal/deduplicator/limit.go
@@ -23,10 +23,11 @@
 	Bytes int
 }
 
-// With 32,768 keys remembered for 11 minutes, an entry takes 49 keys a second in
-// each role. Both tables must fit into the 32 MB of a node with room to spare.
+// With 98,304 keys remembered for 11 minutes, an entry takes 148 keys a second in
+// each role; 28 entries at the target size need 107. The tables are state of
+// requests and not bound by the 32 MB of a node for control.
 const (
-	defaultKeys  = 1 << 15
+	defaultKeys  = 3 << 15
 	defaultBytes = 4 << 20
 )
 
--- a/internal/sizer/row.go
+++ b/internal/sizer/row.go
@@ -102,7 +102,7 @@
 	checkpoint := m.at("checkpoint-decode-us", float64(m.Servers))
 	m.row("Configuration", Processor, percent((float64(m.PatchesPerDay)*patch+checkpointsPerDay*checkpoint)/secondsPerDay))
 	m.row("Log reads", Processor, percent(m.idle()))
-	m.row("Host list", Processor, percent(listReadsPerSecond*(m.at("host-list-us", float64(m.Servers))+m.at("hosts-step-us", float64(m.Servers)))))
+	m.row("Host list", Processor, percent(m.listReads()*(m.at("host-list-us", float64(m.Servers))+m.at("hosts-step-us", float64(m.Servers)))))
 	m.row("Measuring", Processor, percent(float64(m.ProbesPerSecond)*m.each("probing-processor-us-a-second")))
 }
 
@@ -120,31 +120,47 @@
 func (m *model) memory() {
 	const kb = 1024
 	entries := float64(m.Need(m.samples))
-	keys := min(m.keysPerSecond(m.samples)*keyMinutes*60, maxKeys)
-	bodies := min(keys*float64(m.OnceOnlyBody), maxStoredBodies)
 	m.row("Services and configuration", Memory, m.at("node-bytes", float64(m.Servers))/kb)
 	m.row("Membership", Memory, m.at("view-bytes", entries)/kb)
 	m.row("Peer connections", Memory, m.peerConnections(m.samples)*m.each("peer-connection-bytes")/2/kb)
-	m.row("Once-only witness", Memory, (m.at("witness-bytes", keys)+bodies)/kb)
-	m.row("Once-only owner", Memory, (m.at("owner-bytes", keys)+bodies)/kb)
 	m.row("Audit after an hour without the log", Memory, m.at("audit-buffer-bytes", 4096)/kb)
 }
 
+// traffic counts what passes between entries once, at its sender: half of it at
+// each entry on average, and as much is received. Exchanges with the platform and
+// with upstreams were measured as a whole and count so, as an upper value.
 func (m *model) traffic() {
 	sealed := segmentOverhead + recordOverhead + frameOverhead
 	exchange := m.most("exchange-bytes")
-	m.row("Membership messages", Traffic, exchangesPerSecond*(exchange+messagesPerExchange*float64(sealed)+segmentOverhead))
+	m.row("Membership messages", Traffic, exchangesPerSecond/2*(exchange+messagesPerExchange*float64(sealed)+segmentOverhead))
 	handshake := m.each("peer-handshake-bytes") + (connectionSegments+exchangeSegments)*segmentOverhead
-	m.row("Membership connections", Traffic, 2*m.newConnections(m.samples)*handshake)
+	m.row("Membership connections", Traffic, m.newConnections(m.samples)*handshake)
 	request := requestSegments * segmentOverhead
 	m.row("Log reads", Traffic, tailReadsPerSecond*(m.at("tail-read-bytes", 1)+request))
 	patch := m.at("patch-record-bytes", float64(m.Servers))
 	checkpoint := m.at("checkpoint-bytes", float64(m.Servers))
 	m.row("Configuration", Traffic, (float64(m.PatchesPerDay)*patch*patchCopies+checkpointsPerDay*checkpoint*base64Growth)/secondsPerDay)
-	m.row("Host list", Traffic, listReadsPerSecond*(m.at("host-list-bytes", float64(m.Servers))*segmentShare+request))
+	m.row("Host list", Traffic, m.listReads()*(m.at("host-list-bytes", float64(m.Servers))*segmentShare+request))
 	m.row("Measuring", Traffic, float64(m.ProbesPerSecond)*(m.each("probing-bytes-a-second")+request))
+}
+
+// KeyLimit returns the new once-only keys a second that the tables of an entry
+// take in each role.
+func KeyLimit() float64 { return maxKeys / (keyMinutes * 60) }
+
+// DataPath returns what once-only calls cost an entry beside control: requests in
+// progress and their results. No bound of control applies to it.
+func DataPath(t Target, s Samples) ([]Row, error) {
+	const kb = 1024
+	m := &model{Target: t, samples: s}
+	keys := min(m.keysPerSecond(s)*keyMinutes*60, maxKeys)
+	bodies := min(keys*float64(m.OnceOnlyBody), maxStoredBodies)
+	m.row("Once-only witness", Memory, (m.at("witness-bytes", keys)+bodies)/kb)
+	m.row("Once-only owner", Memory, (m.at("owner-bytes", keys)+bodies)/kb)
+	sealed := segmentOverhead + recordOverhead + frameOverhead
 	key := m.at("once-only-bytes", float64(m.OnceOnlyBody)) + messagesPerExchange*float64(sealed) + segmentOverhead
-	m.row("Once-only", Traffic, 2*m.keysPerSecond(m.samples)*key)
+	m.row("Once-only", Traffic, m.keysPerSecond(s)*key)
+	return m.rows, m.err
 }
 
 func totals(rows []Row) []Row {
--- a/internal/sizer/sizer_test.go
+++ b/internal/sizer/sizer_test.go
@@ -67,6 +67,21 @@
 	}
 }
 
+// TestKeyLimit guards against tables that are full before the keys of the target
+// size expire, which refuses once-only calls; a fifth stays free.
+func TestKeyLimit(t *testing.T) {
+	const used = 0.8
+	s := samples(t)
+	target := sizer.AtTarget()
+	rows, err := sizer.DataPath(target, s)
+	is.New(t).NoErr(err)
+	for _, r := range rows {
+		t.Logf("data path: %s %.1f %s", r.Name, r.Value, r.Unit)
+	}
+	each := target.OnceOnlyShare * float64(target.CallsPerSecond) / float64(target.Need(s))
+	is.New(t).True(each <= used*sizer.KeyLimit())
+}
+
 var kinds = map[sizer.Unit]string{sizer.Processor: "Processor", sizer.Memory: "Memory", sizer.Traffic: "Traffic"}
 
 // TestBounds guards against a part of control that takes more at the target
--- a/internal/sizer/target.go
+++ b/internal/sizer/target.go
@@ -32,7 +32,7 @@
 const (
 	BoundProcessor = 4.5       // percent of a core
 	BoundMemory    = 32 << 20  // bytes
-	BoundTraffic   = 3 * 1_000 // bytes a second, sent and received together
+	BoundTraffic   = 3 * 1_000 // bytes a second, each counted once, at the node that sends it
 )
 
 // Assumptions about the network, in bytes.
@@ -56,14 +56,15 @@
 	exchangeSegments    = messagesPerExchange + 1 // the last message is acknowledged alone
 	connectionIdle      = 30.0                    // seconds until the messenger closes one
 	tailReadsPerSecond  = 1.0 + 0.1               // Config and Audit
-	listReadsPerSecond  = 1.0 / 5
-	patchCopies         = 3.0 // from the log in base64, and to and from peers
+	listInterval        = 5.0                     // seconds between reads of the host list, at least
+	listIntervalPerHost = 0.3                     // seconds for each line of the host list
+	patchCopies         = 3.0                     // from the log in base64, and to and from peers
 	base64Growth        = 4.0 / 3
 	checkpointsPerDay   = 720.0/64 + 4
 	requestSegments     = 3.0 // question, answer, acknowledgement
 	keyMinutes          = 11.0
-	maxKeys             = 1 << 16
-	maxStoredBodies     = 8 << 20
+	maxKeys             = 3 << 15
+	maxStoredBodies     = 4 << 20
 	secondsPerDay       = 24 * 60 * 60
 )
 
@@ -108,6 +109,11 @@
 	return t.OnceOnlyShare * float64(t.CallsPerSecond) / float64(t.Need(s))
 }
 
+// listReads is the number of reads of the host list a second.
+func (t Target) listReads() float64 {
+	return 1 / max(listInterval, listIntervalPerHost*float64(t.Servers))
+}
+
 // newConnections is the number of peer connections that an entry opens a
 // second. Messages between two entries are taken for random in time.
 func (t Target) newConnections(s Samples) float64 {
