Skip to the newest audit records after a failed read

Cause: after an outage an entry read the Audit stream from its last offset. The answer may exceed the client's 16 MB and then fails each time. Change: after a failed read, the entry asks for the tail again and reads at most the newest 64 batches, about 3 MB.

--- a/internal/reducer/audit.go
+++ b/internal/reducer/audit.go
@@ -13,7 +13,8 @@
 const (
 	auditPatience     = 3 * time.Second
 	auditReadInterval = 10 * time.Second
-	// auditBacklog is the number of records before the tail that a new entry reads.
+	// auditBacklog is the number of records before the tail that an entry reads
+	// when it starts or resumes: at most 3 MB in batches of 256 changes.
 	auditBacklog = 64
 )
 
@@ -23,7 +24,8 @@
 	trail       auditor.Trail
 	sequence    uint64
 	flushTimer  *timer
-	// auditNext is the offset to read from; located is set once the tail was found.
+	// auditNext is the offset to read from; located is set while the tail is known
+	// to be near, from the answer that told it until a read fails.
 	auditNext uint64
 	located   bool
 }
@@ -80,7 +82,9 @@
 	n.scheduleFlush()
 }
 
-// readAudit reads the trail; the first read asks beyond the tail to learn where it is.
+// readAudit reads the trail; the first read, and the first after a failure, asks
+// beyond the tail to learn where it is. After an outage, an answer with all records
+// since the last read may exceed what a client takes and would fail each time.
 func (n *Node) readAudit() {
 	from := n.auditNext
 	if !n.located {
@@ -92,7 +96,7 @@
 func (n *Node) auditRead(ev LogRead) {
 	if !n.located {
 		n.located = true
-		n.auditNext = max(ev.First, ev.Tail-min(ev.Tail, auditBacklog))
+		n.auditNext = max(n.auditNext, ev.First, ev.Tail-min(ev.Tail, auditBacklog))
 		n.readAudit()
 		return
 	}
--- a/internal/reducer/config.go
+++ b/internal/reducer/config.go
@@ -87,6 +87,7 @@
 
 func (n *Node) logFailed(ev LogFailed) {
 	if ev.Stream == auditor.Stream {
+		n.located = false
 		n.scheduleAuditRead()
 		return
 	}
