Limit measuring in the matrix to the share of the hosts present

Cause: the checker's limit for I1 was the whole budget of 24 probes a second, of which three entries use at most 9, so a sum up to 8/3 too large went unseen. Change: the limit is 3 probes a second for each host of the run.

--- a/internal/reducer/fakes_test.go
+++ b/internal/reducer/fakes_test.go
@@ -203,13 +203,16 @@
 	})
 }
 
-// budget is the number of probes a second, 3 for each of MaxEntries.
-const budget = 24
+const (
+	maxEntries = 8
+	// probeShare is the number of probes a second that each entry may send.
+	probeShare = 3
+)
 
 // setup returns the patch that configures service S with three ranks and three upstreams.
 func setup() patcher.Patch {
 	p := func(d time.Duration) patcher.Period { return patcher.Period{Duration: d} }
-	s := patcher.Service{Name: "S", MaxEntries: 8, MeasuringBudget: budget}
+	s := patcher.Service{Name: "S", MaxEntries: maxEntries, MeasuringBudget: maxEntries * probeShare}
 	for i, r := range []patcher.Rank{
 		{Name: "Lookup", Kind: patcher.Idempotent, Floor: 0.2},
 		{Name: "Once", Kind: patcher.OnceOnly, Floor: 0.2},
--- a/internal/reducer/matrix_test.go
+++ b/internal/reducer/matrix_test.go
@@ -117,7 +117,7 @@
 			alive[h.name] = h.incarnation
 		}
 	}
-	found := checker.Check(s.trace, checker.Limits{Budget: map[string]float64{"S": budget}})
+	found := checker.Check(s.trace, s.limits())
 	return append(append(found, checker.Unended(s.trace, alive)...), s.leaks()...)
 }
 
--- a/internal/reducer/once_test.go
+++ b/internal/reducer/once_test.go
@@ -137,10 +137,15 @@
 		}
 	}
 	e.runUntil(e.now.Add(30 * time.Second))
-	found := checker.Check(e.trace, checker.Limits{Budget: map[string]float64{"S": budget}})
+	found := checker.Check(e.trace, e.limits())
 	return append(append(found, checker.Unended(e.trace, alive)...), e.leaks()...)
 }
 
+// limits returns the budget of measuring that the entries of the world have together.
+func (w *world) limits() checker.Limits {
+	return checker.Limits{Budget: map[string]float64{"S": float64(probeShare * len(w.hosts))}}
+}
+
 // leaks names the entries that still hold a request although all have ended.
 func (w *world) leaks() []checker.Violation {
 	var out []checker.Violation
