--- a/internal/reducer/fakes_test.go
+++ b/internal/reducer/fakes_test.go
@@ -68,7 +68,7 @@
 
 // readLog answers with the records at the time of the read.
 func (h *host) readLog(e reducer.ReadLog) {
-	if h.w.logFate != nil && h.w.logFate() == fateLost {
+	if h.isolated || h.w.logFate != nil && h.w.logFate() == fateLost {
 		h.later(10*time.Millisecond, func() { h.step(reducer.LogFailed{Stamp: h.stamp(), Stream: e.Stream}) })
 		return
 	}
@@ -95,6 +95,9 @@
 	if h.w.logFate != nil {
 		what = h.w.logFate()
 	}
+	if h.isolated {
+		what = fateLost
+	}
 	done := reducer.AppendFinished{Stream: e.Stream, ID: e.ID}
 	if what != fateLost {
 		done.Offset = uint64(len(h.w.streams[e.Stream]))
@@ -203,13 +206,16 @@
 	})
 }
 
-// budget is the number of probes a second, 3 for each of MaxEntries.
-const budget = 24
+const (
+	maxEntries = 8
+	// probeShare is the number of probes a second that each entry may send.
+	probeShare = 3
+)
 
 // setup returns the patch that configures service S with three ranks and three upstreams.
 func setup() patcher.Patch {
 	p := func(d time.Duration) patcher.Period { return patcher.Period{Duration: d} }
-	s := patcher.Service{Name: "S", MaxEntries: 8, MeasuringBudget: budget}
+	s := patcher.Service{Name: "S", MaxEntries: maxEntries, MeasuringBudget: maxEntries * probeShare}
 	for i, r := range []patcher.Rank{
 		{Name: "Lookup", Kind: patcher.Idempotent, Floor: 0.2},
 		{Name: "Once", Kind: patcher.OnceOnly, Floor: 0.2},
@@ -231,7 +237,7 @@
 	return patcher.Patch{ID: "setup", Operations: []patcher.Operation{patcher.PutService{Service: s}}}
 }
 
-// settleTime is enough for a few entries to find each other through exchanges.
+// settleTime is enough for four entries to find each other through exchanges; five get twice that.
 const settleTime = 3 * time.Second
 
 // configure writes the first configuration to the log and starts all hosts.
@@ -244,7 +250,7 @@
 	for _, h := range w.hosts {
 		h.start()
 	}
-	w.runUntil(w.now.Add(settleTime))
+	w.runUntil(w.now.Add(settleTime * time.Duration(1+len(w.hosts)/5)))
 	for _, h := range w.hosts {
 		if h.node.State() != gossiper.Alive || len(h.node.Members()) != len(w.hosts) {
 			panic(h.name + " did not find its peers")
