Send load directly to the stand-ins, and drop the fixed-entries fallback

Cause: the added latency of an entry could be measured only against a call without one, and the load tool had no such call. It also still used the seeds as they are when /entries answered 404, which no entry does any more. Conclusion: direct calls and calls through entries can be compared by rank.

--- a/internal/commander/demo_report.go
+++ b/internal/commander/demo_report.go
@@ -82,9 +82,6 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	if rep.Load.FixedEntries {
-		e.printf("the entries did not tell which of them to use; all were used\n")
-	}
 	e.printf("new work at a leaving upstream after %s: %d\n", leavingBound.Round(time.Second), rep.LateWork)
 	if len(rep.Broken) == 0 {
 		e.printf("no invariant broke\n")
--- a/internal/commander/load.go
+++ b/internal/commander/load.go
@@ -74,6 +74,7 @@
 	json      *bool
 	plot      *string
 	count     *bool
+	direct    *bool
 }
 
 func newLoadFlags(f *flag.FlagSet) *loadFlags {
@@ -88,6 +89,7 @@
 	l.json = f.Bool("json", false, "print the report as JSON")
 	l.plot = f.String("plot", "", "write p99 over time to this `file`, .svg or .png")
 	l.count = f.Bool("count", true, "ask the upstream stand-ins how often each request ran")
+	l.direct = f.Bool("direct", false, "send the requests to the upstreams of the patch file in turn, without an entry")
 	return l
 }
 
@@ -98,8 +100,8 @@
 	if status, ok := e.parse(f, args, 0, 0); !ok {
 		return status
 	}
-	if len(l.entries) == 0 || *l.patchFile == "" || *l.duration <= 0 || *l.duration > maxDuration {
-		e.complain("want -entries, -patch and a duration of at most " + maxDuration.String())
+	if len(l.entries) == 0 == !*l.direct || *l.patchFile == "" || *l.duration <= 0 || *l.duration > maxDuration {
+		e.complain("want -entries, -patch and a duration of at most " + maxDuration.String() + "; -direct replaces -entries")
 		return ExitUsage
 	}
 	p, err := parser.LoadPatch(*l.patchFile)
@@ -141,6 +143,9 @@
 
 func (l *loadFlags) options(e *environment, p patcher.Patch) (loader.Options, error) {
 	o := loader.Options{Seeds: l.entries, Duration: *l.duration, Seed: *l.seed}
+	if *l.direct {
+		o.Direct = upstreamsByService(p)
+	}
 	if *l.centres != "" {
 		o.DataCentres = strings.Split(*l.centres, ",")
 	}
@@ -196,6 +201,16 @@
 	return list
 }
 
+func upstreamsByService(p patcher.Patch) map[string][]netip.AddrPort {
+	list := make(map[string][]netip.AddrPort)
+	for _, op := range p.Operations {
+		if u, ok := op.(patcher.PutUpstream); ok {
+			list[u.InService] = append(list[u.InService], u.Address)
+		}
+	}
+	return list
+}
+
 // maxRuns bounds the answer of a stand-in to the question for all counts, in bytes.
 const maxRuns = 256 << 20
 
--- a/internal/loader/loader_test.go
+++ b/internal/loader/loader_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -112,6 +113,36 @@
 	}
 }
 
+// TestDirect guards against a direct call that asks an entry, skips an upstream or counts no runs.
+func TestDirect(t *testing.T) {
+	is := is.New(t)
+	var list []netip.AddrPort
+	var served [2]atomic.Int64
+	f := &fakeSystem{runs: make(map[string]int)}
+	for i := range served {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			served[i].Add(1)
+			r.URL.Path = "/call/S/Posting" + r.URL.Path
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.call(w, r)
+		}))
+		t.Cleanup(s.Close)
+		list = append(list, netip.MustParseAddrPort(s.Listener.Addr().String()))
+	}
+	rep, err := Run(t.Context(), Options{
+		Direct:   map[string][]netip.AddrPort{"S": list},
+		Ranks:    []Rank{{Service: "S", Name: "Posting", OnceOnly: true, Rate: 200, Target: time.Second, Patience: 2 * time.Second}},
+		Duration: 300 * time.Millisecond, Seed: 7, Runs: f.count,
+	})
+	is.NoErr(err)
+	is.Equal(len(rep.Broken), 0)
+	is.True(rep.Ranks[0].Offered > 20)
+	is.Equal(rep.Ranks[0].Executions, map[int]int{1: rep.Ranks[0].Offered})
+	is.True(served[0].Load()-served[1].Load() <= 1)
+	is.True(served[1].Load() <= served[0].Load())
+}
+
 // TestOpenLoop guards against latency that leaves out the time a request
 // waited in the generator: the system serves one request at a time and slower
 // than they are offered, so that a closed loop would show only 2 ms.
@@ -166,5 +197,5 @@
 		is.NoErr(err)
 		is.True(len(data) > 1000)
 	}
-	is.True(rep.Plot("p.txt") != nil)
+	is.True(rep.Plot(filepath.Join(t.TempDir(), "p.txt")) != nil)
 }
--- a/internal/loader/options.go
+++ b/internal/loader/options.go
@@ -33,6 +33,8 @@
 // Options describe a run.
 type Options struct {
 	Seeds []netip.AddrPort
+	// Direct lists the upstreams of each service; if set, they get the requests in turn, without an entry.
+	Direct map[string][]netip.AddrPort
 	// DataCentres are those of the callers; each has its own client.
 	DataCentres []string
 	Ranks       []Rank
--- a/internal/loader/report.go
+++ b/internal/loader/report.go
@@ -13,9 +13,7 @@
 	Begin    time.Time
 	Duration time.Duration
 	Seed     uint64
-	// FixedEntries is set if the entries didn't tell which of them to use.
-	FixedEntries bool
-	Ranks        []RankReport
+	Ranks    []RankReport
 	// Broken lists each breach of an invariant that the load itself showed.
 	Broken []string
 	series []series
--- a/internal/loader/request.go
+++ b/internal/loader/request.go
@@ -13,6 +13,8 @@
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
+const keyHeader = "Idempotency-Key"
+
 // class is how a request ended.
 type class uint8
 
@@ -42,12 +44,19 @@
 	ctx, cancel := context.WithDeadline(ctx, at.Add(rank.Patience))
 	defer cancel()
 	req := r.request(rank, s.rank, n)
-	a, err := r.clients[n%len(r.clients)].Do(ctx, req)
-	res := result{rank: s.rank, at: at, latency: time.Since(at), key: req.Header.Get("Idempotency-Key")}
+	a, err := r.send(ctx, req, n)
+	res := result{rank: s.rank, at: at, latency: time.Since(at), key: req.Header.Get(keyHeader)}
 	res.judge(req, a, err)
 	r.record(res)
 }
 
+func (r *run) send(ctx context.Context, req caller.Request, n int) (*caller.Answer, error) {
+	if r.options.Direct != nil {
+		return r.direct(ctx, req, n)
+	}
+	return r.clients[n%len(r.clients)].Do(ctx, req)
+}
+
 func (r *run) request(rank Rank, index, n int) caller.Request {
 	req := caller.Request{
 		Service: rank.Service, Rank: rank.Name, OnceOnly: rank.OnceOnly,
@@ -57,9 +66,9 @@
 		req.Method = http.MethodPost
 		req.Body = bytes.Repeat([]byte{'x'}, rank.Body)
 	}
-	if !rank.OnceOnly {
+	if !rank.OnceOnly || r.options.Direct != nil {
 		// The stand-ins count runs by this header, for idempotent work too.
-		req.Header.Set("Idempotency-Key", fmt.Sprintf("%s-%d-%d", r.id, index, n))
+		req.Header.Set(keyHeader, fmt.Sprintf("%s-%d-%d", r.id, index, n))
 	}
 	return req
 }
@@ -77,6 +86,11 @@
 		}
 		return
 	}
+	if err != nil {
+		res.class = classUnknown
+		res.code = classifier.ConnectionLost
+		return
+	}
 	if a.Key != "" {
 		res.key = a.Key
 	}
--- a/internal/loader/run.go
+++ b/internal/loader/run.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"sync"
 	"time"
 
@@ -19,6 +18,7 @@
 	id      string
 	begin   time.Time
 	clients []*caller.Client
+	http    *http.Client
 	slots   chan struct{}
 	work    sync.WaitGroup
 
@@ -31,7 +31,7 @@
 // Run offers the load until the duration is over or ctx ends, and returns what
 // came back. It fails only if it can't begin.
 func Run(ctx context.Context, o Options) (*Report, error) {
-	if len(o.Seeds) == 0 || len(o.Ranks) == 0 || o.Duration <= 0 {
+	if len(o.Seeds) == 0 && o.Direct == nil || len(o.Ranks) == 0 || o.Duration <= 0 {
 		return nil, errors.New("a run needs entries, ranks and a duration")
 	}
 	if o.InFlight <= 0 {
@@ -41,49 +41,26 @@
 		o.DataCentres = []string{""}
 	}
 	r := &run{options: o, id: uuid.NewString(), slots: make(chan struct{}, o.InFlight)}
-	fixed := !tellsEntries(ctx, o.Seeds)
-	r.openClients(fixed)
+	r.openClients()
 	defer r.closeClients()
 	r.offer(ctx)
-	report := r.report()
-	report.FixedEntries = fixed
-	return report, nil
+	return r.report(), nil
 }
 
-// tellsEntries reports whether an entry answers which entries to use; one of an
-// earlier version answers 404, and then the seeds are used as they are.
-func tellsEntries(ctx context.Context, seeds []netip.AddrPort) bool {
-	for _, a := range seeds {
-		ctx, cancel := context.WithTimeout(ctx, time.Second)
-		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.String()+"/entries", http.NoBody)
-		if err != nil {
-			cancel()
-			continue
-		}
-		resp, err := http.DefaultClient.Do(req)
-		cancel()
-		if err != nil {
-			continue
-		}
-		_ = resp.Body.Close()
-		if resp.StatusCode == http.StatusNotFound {
-			return false
-		}
+func (r *run) openClients() {
+	if r.options.Direct != nil {
+		r.http = directClient()
+		return
 	}
-	return true
-}
-
-func (r *run) openClients(fixed bool) {
 	for _, dc := range r.options.DataCentres {
-		opts := []caller.Option{caller.WithDataCentre(dc)}
-		if fixed {
-			opts = append(opts, caller.WithFixedEntries())
-		}
-		r.clients = append(r.clients, caller.New(r.options.Seeds, opts...))
+		r.clients = append(r.clients, caller.New(r.options.Seeds, caller.WithDataCentre(dc)))
 	}
 }
 
 func (r *run) closeClients() {
+	if r.http != nil {
+		r.http.CloseIdleConnections()
+	}
 	for _, c := range r.clients {
 		c.Close()
 	}
