Wait up to 1 s for a witness that an entry has not heard of yet

Cause: after a start an entry knows the others only once exchanges have reached it, and refused once-only work as WitnessSilent at once if the witness was not among those it knew. Ruled out for these cases: the wait before a peer is dialled again; no message had been sent. Change: the intent is sent again every 100 ms and the wait is 1 s while the witness is unknown.

--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -13,6 +13,9 @@
 	// peerPatience bounds the wait for a witness or an owner; it covers the
 	// farthest data centre and a few lost messages.
 	peerPatience = 500 * time.Millisecond
+	// unknownPatience bounds the wait for a witness that is not heard of yet; it
+	// covers two exchanges, as an entry learns the others after its start.
+	unknownPatience = time.Second
 	// resendInterval is the wait before a message to a witness or owner is sent again.
 	resendInterval = 100 * time.Millisecond
 )
--- a/internal/reducer/onceflow_test.go
+++ b/internal/reducer/onceflow_test.go
@@ -255,3 +255,22 @@
 		})
 	}
 }
+
+// TestOnceAfterStart guards against once-only work that a new entry refuses as
+// WitnessSilent because it has not heard of a running witness yet.
+func TestOnceAfterStart(t *testing.T) {
+	is := is.New(t)
+	served := 0
+	for after := 10 * time.Millisecond; after < time.Second; after += 10 * time.Millisecond {
+		f := newFlow()
+		f.host("a").start()
+		f.wait(after)
+		c := f.call("a", true)
+		f.wait(2 * time.Second)
+		is.True(c.result() != "WitnessSilent NotRun") // the witness runs and answers
+		if c.result() == "Relay" {
+			served++
+		}
+	}
+	is.True(served > 0)
+}
--- a/internal/reducer/oncepeer.go
+++ b/internal/reducer/oncepeer.go
@@ -19,6 +19,9 @@
 func (n *Node) askWitness(r *request) {
 	r.once.stage = stageAsking
 	r.once.silentAt = n.now.Add(peerPatience)
+	if _, ok := n.view.Find(r.once.claim.key.Witness); !ok {
+		r.once.silentAt = n.now.Add(unknownPatience)
+	}
 	n.sendIntent(r)
 }
 
@@ -31,7 +34,8 @@
 	}
 	e, ok := n.view.Find(c.key.Witness)
 	if !ok {
-		n.refuseRequest(r, classifier.WitnessSilent)
+		// After a start the witness may not have been heard of yet.
+		n.resendLater(r, classifier.WitnessSilent, n.sendIntent)
 		return
 	}
 	if e.Incarnation > c.key.WitnessIncarnation {
