End first attempts soon when their witness can't be reached

The entry had been told by PeerUnreachable, which the node ignored. Change: two undelivered messages in a row end a first attempt as not run, so that the caller takes another key; one broken connection does not. Repeats wait as before, since they would end as unknown.

--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -117,6 +117,8 @@
 		n.patchSubmitted(ev)
 	case PeerMessageReceived:
 		n.peerMessage(ev)
+	case PeerUnreachable:
+		n.peerUnreachable(ev)
 	case KeysAsked:
 		n.keysAsked(ev)
 	case EntriesAsked:
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -60,6 +60,8 @@
 	// silentAt ends the wait for the witness or owner.
 	silentAt time.Time
 	resend   *timer
+	// unreachable counts the messages to the witness that could not be delivered.
+	unreachable int
 }
 
 func newOnceOnly(o Options) onceOnly {
--- a/internal/reducer/oncepeer.go
+++ b/internal/reducer/oncepeer.go
@@ -25,6 +25,26 @@
 	n.sendIntent(r)
 }
 
+// maxUnreachable is the number of messages in a row that may fail to reach a
+// witness before a first attempt ends; one may fall to a connection that broke.
+const maxUnreachable = 2
+
+// peerUnreachable ends first attempts whose witness can't be reached, so that
+// their callers take another key without the wait for a silent witness. Other
+// attempts wait on: they would end as unknown.
+func (n *Node) peerUnreachable(ev PeerUnreachable) {
+	for _, key := range sortedKeys(n.once.claims) {
+		r := n.leading(key, stageAsking)
+		if r == nil || !r.once.first || r.once.claim.key.Witness != ev.Peer {
+			continue
+		}
+		r.once.unreachable++
+		if r.once.unreachable >= maxUnreachable {
+			n.refuseRequest(r, classifier.WitnessSilent)
+		}
+	}
+}
+
 func (n *Node) sendIntent(r *request) {
 	c := r.once.claim
 	m := deduplicator.Intent{Key: c.text, BodyDigest: c.record.Digest(), Owner: n.holder(c), Barred: r.once.barred}
