Let an entry's heap grow to five times its live part

Cause: on an idle host one entry added 473 us at p99 to a call, above the target of 0.42 ms; with few MB of live heap the collector runs very often. Change: serve sets the collector to 400% unless GOGC is set.

--- a/internal/commander/serve.go
+++ b/internal/commander/serve.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,18 @@
 // errSecondSignal ends the process at once.
 var errSecondSignal = errors.New("stopped by a second signal, requests in progress were abandoned")
 
+// collectorPercent lets the heap of an entry, which is a few MB, grow to five
+// times its live part. With the default of 100 collections run often enough to
+// add more than the target of 0.42 ms to a call at p99.
+const collectorPercent = 400
+
+// tuneCollector leaves the collector alone if the operator set GOGC.
+func tuneCollector(getenv func(string) string) {
+	if getenv("GOGC") == "" {
+		debug.SetGCPercent(collectorPercent)
+	}
+}
+
 func serve(e *environment, args []string) int {
 	f := e.flagSet("serve", "<settings file>", "Runs an entry until SIGTERM or interrupt. The first signal begins a planned stop that\n"+
 		"completes the requests in progress; a second one ends the process at once.")
@@ -36,6 +49,7 @@
 	if err != nil {
 		return e.fail(err)
 	}
+	tuneCollector(e.getenv)
 	logger := e.logger(s)
 	defer func() { _ = logger.Sync() }()
 	en, err := newEntry(s, logger)
