--- /dev/null
+++ b/cmd/azuretrestle/doc.go
@@ -0,0 +1,2 @@
+// Command azuretrestle runs an entry of the load balancer and its tools.
+package main
--- a/cmd/azuretrestle/main.go
+++ b/cmd/azuretrestle/main.go
@@ -1,4 +1,3 @@
-// Command azuretrestle runs an entry of the load balancer and its tools.
 package main
 
 import (
