Share the counting listener of the slope tests and the key limit

Cause: three packages had the same listener that counts bytes, and sizer held a copy of the key and byte limits of deduplicator that had to be kept equal by hand. Change: sizer.CountingListener serves all three; deduplicator exports DefaultKeys and DefaultBytes, which sizer uses. Behaviour and checks are the same. Measured: formatter, linter and vet are clean; go test and go test -race of sizer, deduplicator, messenger, recorder and driver pass, without the known failure Traffic_Total. Conclusion: one definition of each.

--- a/internal/deduplicator/limit.go
+++ b/internal/deduplicator/limit.go
@@ -27,16 +27,18 @@
 // each role; 28 entries at the target size need 107. The tables are state of
 // requests and not bound by the 32 MB of a node for control.
 const (
-	defaultKeys  = 3 << 15
-	defaultBytes = 4 << 20
+	// DefaultKeys is the number of keys that a table holds unless Limits says otherwise.
+	DefaultKeys = 3 << 15
+	// DefaultBytes is the total size of the stored answers unless Limits says otherwise, in bytes.
+	DefaultBytes = 4 << 20
 )
 
 func (l Limits) withDefaults() Limits {
 	if l.Keys == 0 {
-		l.Keys = defaultKeys
+		l.Keys = DefaultKeys
 	}
 	if l.Bytes == 0 {
-		l.Bytes = defaultBytes
+		l.Bytes = DefaultBytes
 	}
 	return l
 }
--- a/internal/driver/capacity_test.go
+++ b/internal/driver/capacity_test.go
@@ -60,43 +60,13 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := faker.Start(countingListener{lis, bytes}, &faker.Upstream{Name: "t", Slots: 64, Mean: work})
+		s := faker.Start(sizer.CountingListener{Listener: lis, Bytes: bytes}, &faker.Upstream{Name: "t", Slots: 64, Mean: work})
 		t.Cleanup(s.Close)
 		out = append(out, s.Address())
 	}
 	return out
 }
 
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countingConn{c, l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // workers sends requests and returns the processor time of the process per request.
 func workers(t *testing.T, url string, requests, count int) time.Duration {
 	t.Helper()
--- a/internal/messenger/slope_test.go
+++ b/internal/messenger/slope_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"runtime"
 	"slices"
@@ -107,37 +106,6 @@
 	is.True(sizes[10_000]-sizes[1000] < 9000*11/10)
 }
 
-// countingListener counts the bytes of both directions of its connections.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countingConn{c, l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 func processorTime() time.Duration {
 	var u syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &u)
@@ -165,7 +133,7 @@
 		lis, address := listen(t)
 		var bytes atomic.Int64
 		b := New(Options{Name: "b", Incarnation: 1, Certificates: server}, in)
-		b.Serve(countingListener{lis, &bytes})
+		b.Serve(sizer.CountingListener{Listener: lis, Bytes: &bytes})
 		var senders []*Messenger
 		begun := processorTime()
 		memory := sizer.Retained(func() any {
--- a/internal/recorder/slope_test.go
+++ b/internal/recorder/slope_test.go
@@ -17,37 +17,6 @@
 	"github.com/azuretrestle/azuretrestle/internal/sizer"
 )
 
-// countingListener counts the bytes of both directions of its connections.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return countingConn{c, l.bytes}, nil
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // slopeHosts has names and addresses of the length that a fleet of 14 data centres uses.
 func slopeHosts(count int) []faker.Host {
 	var out []faker.Host
@@ -71,7 +40,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return countingListener{lis, &bytes}
+		return sizer.CountingListener{Listener: lis, Bytes: &bytes}
 	}
 	l, h := faker.Start(counted(), log.Handler()), faker.Start(counted(), list.Handler())
 	c := recorder.NewClient(l.Address(), h.Address())
--- a/internal/sizer/target.go
+++ b/internal/sizer/target.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/deduplicator"
 )
 
 // Target is the size that the system has to carry.
@@ -63,8 +65,8 @@
 	checkpointsPerDay   = 720.0/64 + 4
 	requestSegments     = 3.0 // question, answer, acknowledgement
 	keyMinutes          = 11.0
-	maxKeys             = 3 << 15
-	maxStoredBodies     = 4 << 20
+	maxKeys             = deduplicator.DefaultKeys
+	maxStoredBodies     = deduplicator.DefaultBytes
 	secondsPerDay       = 24 * 60 * 60
 )
 
