--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -13,6 +13,8 @@
 type Report struct {
 	InFlight int
 	Queued   int
+	// Pace is how long work takes at the moment as a multiple of the usual; 0 if it is not told.
+	Pace float64
 }
 
 // Failure says how an attempt ended without a usable answer.
@@ -115,7 +117,7 @@
 	p.upstreams = p.upstreams[:0]
 	for _, u := range s.Upstreams {
 		known, ok := p.byName[u.Name]
-		if !ok || known.Address != u.Address {
+		if !ok || known.Address != u.Address || known.Born != u.Born {
 			known = newUpstream(u)
 			if !first {
 				known.comeBack(now, coldTime)
--- a/internal/commander/commander.go
+++ b/internal/commander/commander.go
@@ -26,6 +26,9 @@
 	ExitPending = 6
 )
 
+// entryCommand runs an entry on the platform.
+const entryCommand = "entry"
+
 const statuses = `exit status:
   0  success
   1  the network or the process failed
@@ -76,6 +79,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run an entry", serve},
+		{entryCommand, "run an entry on the platform", runEntry},
 		{"check", "check settings and patch files offline", check},
 		{"patch", "submit a patch file to an entry", patch},
 		{"config", "print the configuration in force", config},
@@ -93,6 +97,10 @@
 func Main(args []string, stdout, stderr io.Writer) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	if len(args) > 0 && args[0] == entryCommand {
+		// Other commands end at a hang-up of their terminal.
+		signal.Notify(signals, syscall.SIGHUP)
+	}
 	defer signal.Stop(signals)
 	e := &environment{stdout: stdout, stderr: stderr, getenv: os.Getenv, signals: signals}
 	return e.dispatch(args)
--- /dev/null
+++ b/internal/commander/entry.go
@@ -0,0 +1,182 @@
+package commander
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/driver"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/platform"
+)
+
+const (
+	// answerPeriod is how long callers may keep an answer that names entries. Some
+	// keep it three times as long, and all should have a new one well before a
+	// stopping entry closes its connections.
+	answerPeriod = 1200 * time.Millisecond
+	// stopMargin is the time before the platform's kill at which a stopping entry gives up.
+	stopMargin = 100 * time.Millisecond
+	// bodyShare is the reciprocal share of the memory that bodies may take.
+	bodyShare = 4
+	// heapShare is the share of the memory from which the collector works harder.
+	heapShare = 0.6
+	// platformCollector trades memory, which is priced, against processor time.
+	platformCollector = 100
+)
+
+func runEntry(e *environment, args []string) int {
+	f := e.flagSet("entry", "", "Runs an entry on the platform until SIGTERM. The settings file is named by\n"+platform.SettingsVariable+"; SIGHUP reads it again.")
+	path := f.String("settings", e.getenv(platform.SettingsVariable), "settings file of the platform")
+	if status, ok := e.parse(f, args, 0, 0); !ok {
+		return status
+	}
+	s, err := platform.LoadSettings(*path)
+	if err != nil {
+		return e.fail(err)
+	}
+	debug.SetGCPercent(platformCollector)
+	debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare))
+	logger := e.platformLogger(s)
+	defer func() { _ = logger.Sync() }()
+	p, err := newPlatformEntry(s, logger)
+	if err != nil {
+		logger.Error("entry not started", zap.NamedError("Error", err))
+		return e.fail(err)
+	}
+	if err := p.run(e.signals, *path); err != nil {
+		logger.Error("entry ended", zap.NamedError("Error", err))
+		return ExitFailure
+	}
+	return ExitOK
+}
+
+// platformEntry is an entry that runs on the platform.
+type platformEntry struct {
+	settings *platform.Settings
+	logger   *zap.Logger
+	store    *platform.Store
+	driver   *driver.Driver
+	servers  []*server
+}
+
+func newPlatformEntry(s *platform.Settings, l *zap.Logger) (*platformEntry, error) {
+	p := &platformEntry{settings: s, logger: l, store: platform.NewStore(s.Store)}
+	callers, err := listen(s.Callers)
+	if err != nil {
+		return nil, err
+	}
+	peers, err := listen(s.Peers)
+	if err != nil {
+		_ = callers.Close()
+		return nil, err
+	}
+	p.driver = driver.New(p.options(), nil, nil,
+		driver.WithLogger(l), driver.WithPeers(peers, nil), driver.WithWire(platform.Wire{}),
+		driver.WithStore(p.store), driver.WithMemory(s.Memory/bodyShare))
+	if err := p.listen(); err != nil {
+		p.driver.Close()
+		_ = callers.Close()
+		return nil, err
+	}
+	p.driver.Start()
+	p.driver.ServeRoutes(callers)
+	for _, srv := range p.servers {
+		srv.start()
+	}
+	l.Info("entry started", zap.String("DataCentre", s.DataCentre), zap.Stringer("Callers", s.Callers), zap.Stringer("Store", s.Store))
+	return p, nil
+}
+
+func (p *platformEntry) options() reducer.Options {
+	s := p.settings
+	period := answerPeriod
+	if s.MaxAnswer > 0 {
+		period = min(period, s.MaxAnswer)
+	}
+	return reducer.Options{
+		Name: s.Name, Incarnation: newIncarnation(time.Now()), PeerAddress: s.Peers, Peers: s.Seeds,
+		CallerAddress: s.Callers, DataCentre: s.DataCentre, Seed: rand.Uint64(),
+		Managed: &reducer.Managed{AnswerPeriod: period, RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack},
+	}
+}
+
+// listen opens the listeners beside that of the callers.
+func (p *platformEntry) listen() error {
+	s := p.settings
+	metrics := http.NewServeMux()
+	metrics.Handle("GET /metrics", promhttp.HandlerFor(p.driver.Gatherer(), promhttp.HandlerOpts{}))
+	for _, l := range []struct {
+		address netip.AddrPort
+		handler http.Handler
+	}{
+		{s.Readiness, platform.ReadyHandler(p.driver)},
+		{s.Directory, platform.DirectoryHandler(p.driver)},
+		{s.Metrics, metrics},
+	} {
+		if !l.address.IsValid() {
+			continue
+		}
+		srv, err := newServer(l.address, l.handler, nil, p.logger)
+		if err != nil {
+			return err
+		}
+		p.servers = append(p.servers, srv)
+	}
+	return nil
+}
+
+// run waits for a signal to stop and ends the entry within the platform's grace.
+func (p *platformEntry) run(signals <-chan os.Signal, path string) error {
+	for {
+		select {
+		case sig := <-signals:
+			if sig == syscall.SIGHUP {
+				p.reload(path)
+				continue
+			}
+			p.logger.Info("planned stop began", zap.Stringer("Signal", sig))
+			return p.stop()
+		case <-p.driver.Done():
+			return errDriverEnded
+		}
+	}
+}
+
+// reload reads the settings again; what differs takes effect with the next start.
+func (p *platformEntry) reload(path string) {
+	s, err := platform.LoadSettings(path)
+	if err != nil {
+		p.logger.Error("settings not reloaded, the last ones stay in force", zap.NamedError("Error", err))
+		return
+	}
+	p.driver.SetRepeats(s.RepeatRatio, s.RepeatSlack)
+	p.logger.Info("settings reloaded")
+}
+
+func (p *platformEntry) stop() error {
+	patience := p.settings.Grace - stopMargin
+	if patience <= 0 {
+		patience = math.MaxInt64
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	p.driver.Stop()
+	select {
+	case <-p.driver.Done():
+		p.logger.Info("entry stopped")
+	case <-ctx.Done():
+		p.logger.Warn("requests were still in progress at the end of the grace")
+	}
+	p.store.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/dialer/dialer_test.go
@@ -0,0 +1,211 @@
+package dialer
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const patience = 10 * time.Second
+
+// upstream plays a script on each connection: one step a request that was read.
+func upstream(t *testing.T, steps ...string) netip.AddrPort {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go play(c, steps)
+		}
+	}()
+	return netip.MustParseAddrPort(lis.Addr().String())
+}
+
+// play answers with the steps; "reset" resets the connection, "hang" waits for its end.
+func play(c net.Conn, steps []string) {
+	defer func() { _ = c.Close() }()
+	in := bufio.NewReader(c)
+	for _, step := range steps {
+		text, early := strings.CutPrefix(step, "early:")
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if !early {
+			_, _ = io.Copy(io.Discard, req.Body)
+		}
+		text, reset := strings.CutSuffix(text, "reset")
+		text, hang := strings.CutSuffix(text, "hang")
+		_, _ = io.WriteString(c, text)
+		if reset {
+			time.Sleep(20 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+		if hang {
+			_, _ = io.Copy(io.Discard, in)
+			return
+		}
+	}
+	_, _ = io.Copy(io.Discard, in)
+}
+
+func ok(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(body))) + "\r\n\r\n" + body
+}
+
+func match(id string) Matcher { return func(r *http.Response) bool { return r.Header.Get("Id") == id } }
+
+func get(ctx context.Context, p *Pool, need Need) (string, Sent, error) {
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://upstream/", nil)
+	return do(p, req, need)
+}
+
+func do(p *Pool, req *http.Request, need Need) (string, Sent, error) {
+	resp, sent, err := p.RoundTrip(req, need)
+	if err != nil {
+		return "", sent, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	return string(b), sent, err
+}
+
+// TestAnswers guards against answers that reach the wrong request, and broken ones that look whole.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		name, step, want string
+		fails            bool
+	}{
+		{"plain", ok("1", "a"), "a", false},
+		{"late answer first", ok("0", "x") + ok("1", "a"), "a", false},
+		{"interim", "HTTP/1.1 100 Continue\r\n\r\n" + ok("1", "a"), "a", false},
+		{"empty", ok("1", ""), "", false},
+		{"no length", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabc", "abc", true},
+		{"no length, reset", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nabcreset", "", true},
+		{"truncated", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabcreset", "", true},
+		{"not an answer", "nonsense\r\n\r\n", "", true},
+		{"reset", "reset", "", true},
+		{"only another's answer", ok("0", "x") + "reset", "", true},
+		{"silence", "hang", "", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+			defer cancel()
+			p := New(upstream(t, c.step), 2)
+			got, sent, err := get(ctx, p, Need{Match: match("1")})
+			is.Equal(err != nil, c.fails)
+			is.True(sent.Connected)
+			is.True(sent.Bytes)
+			if !c.fails {
+				is.Equal(got, c.want)
+			}
+		})
+	}
+}
+
+// TestReuse guards against requests on connections that have ended or hold stray
+// bytes, and against a new connection for each request.
+func TestReuse(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		steps  []string
+		opened uint64
+	}{
+		{"kept", []string{ok("1", "a"), ok("1", "b"), ok("1", "c")}, 1},
+		{"empty answers", []string{ok("1", ""), ok("1", ""), ok("1", "")}, 1},
+		{"closed by the upstream", []string{ok("1", "a") + "reset"}, 3},
+		{"told to close", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"}, 3},
+		{"stray bytes", []string{ok("1", "a") + ok("1", "a")}, 3},
+		{"no time to stay", []string{"HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=1\r\nContent-Length: 0\r\n\r\n"}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := New(upstream(t, c.steps...), 2)
+			for range 3 {
+				_, _, err := get(context.Background(), p, Need{Match: match("1")})
+				is.NoErr(err)
+				time.Sleep(40 * time.Millisecond)
+			}
+			is.Equal(p.Opened(), c.opened)
+		})
+	}
+}
+
+// TestLimit guards against more connections than an upstream grants.
+func TestLimit(t *testing.T) {
+	is := is.New(t)
+	p := New(upstream(t, "hang"), 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, _, err := get(ctx, p, Need{})
+		done <- err
+	}()
+	for p.Open() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, sent, err := get(context.Background(), p, Need{})
+	is.Equal(err, ErrNoRoom)
+	is.True(!sent.Connected)
+	cancel()
+	is.True(<-done != nil)
+	for begun := time.Now(); p.Open() > 0 && time.Since(begun) < patience; {
+		time.Sleep(time.Millisecond)
+	}
+	is.Equal(p.Open(), 0)
+}
+
+// TestEarlyAnswer guards against an exchange that hangs because the upstream
+// answers without reading the body, and against a body that goes on behind the answer.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	p := New(upstream(t, "early:"+ok("1", "no")+"hang"), 2)
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, "http://upstream/", strings.NewReader(strings.Repeat("x", 64<<20)))
+	is.NoErr(err)
+	got, _, err := do(p, req, Need{Match: match("1")})
+	is.NoErr(err)
+	is.Equal(got, "no")
+	time.Sleep(20 * time.Millisecond)
+	is.Equal(p.Open(), 0)
+}
+
+// TestUnreachable guards against a request that counts as sent although there was no connection.
+func TestUnreachable(t *testing.T) {
+	is := is.New(t)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	_ = lis.Close()
+	p := New(netip.MustParseAddrPort(lis.Addr().String()), 2)
+	_, sent, err := get(context.Background(), p, Need{})
+	is.True(err != nil)
+	is.Equal(sent, Sent{})
+}
+
+// TestMaxIdle guards against a request that must not run twice on a connection that was unused for long.
+func TestMaxIdle(t *testing.T) {
+	is := is.New(t)
+	p := New(upstream(t, ok("1", "a"), ok("1", "b")), 2)
+	for range 2 {
+		_, _, err := get(context.Background(), p, Need{MaxIdle: 10 * time.Millisecond})
+		is.NoErr(err)
+		time.Sleep(30 * time.Millisecond)
+	}
+	is.Equal(p.Opened(), uint64(2))
+}
--- a/internal/driver/answer.go
+++ b/internal/driver/answer.go
@@ -49,7 +49,7 @@
 	_ = a.rest.Close()
 	a.held.release()
 	a.attempt.cancel()
-	a.attempt.pool.finished()
+	a.attempt.finished()
 }
 
 // write gives a reply to the caller and returns the code to count.
@@ -60,6 +60,10 @@
 	}
 	switch rep := rep.(type) {
 	case refusal:
+		if d.wire != nil {
+			d.refuseRoute(w, rep.Refuse)
+			return rep.Code
+		}
 		writeRefusal(w, rep.Refuse)
 		return rep.Code
 	case stored:
@@ -83,10 +87,12 @@
 func (d *Driver) writeAnswer(w http.ResponseWriter, r *http.Request, a *answer) {
 	h := w.Header()
 	copyHeaders(h, a.header)
-	for _, name := range []string{headerLoad, headerDraining, headerNotRun, headerCode} {
-		delete(h, name)
+	if d.wire == nil {
+		for _, name := range []string{headerLoad, headerDraining, headerNotRun, headerCode} {
+			delete(h, name)
+		}
+		h[headerOutcome] = outcomeDone
 	}
-	h[headerOutcome] = outcomeDone
 	if a.whole && r.Method != http.MethodHead && a.status >= http.StatusOK && a.status != http.StatusNoContent && a.status != http.StatusNotModified {
 		h["Content-Length"] = []string{strconv.Itoa(len(a.held.body))}
 	}
--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -45,6 +45,8 @@
 	ended    bool
 	// uploaded is set once an attempt took upload.
 	uploaded bool
+	// id is the caller's own name of the request, empty if it has none.
+	id string
 }
 
 // Handler returns the HTTP interface for callers.
@@ -189,7 +191,7 @@
 		FirstAttempt: c.first(),
 		Replayable:   c.replayable,
 	}
-	if c.onceOnly {
+	if c.onceOnly && d.wire == nil {
 		ev.BodyDigest = xxhash.Sum64(c.held.body)
 	}
 	d.mu.Lock()
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/azuretrestle/azuretrestle/internal/dialer"
 	"github.com/azuretrestle/azuretrestle/internal/messenger"
 	"github.com/azuretrestle/azuretrestle/internal/recorder"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
@@ -27,6 +27,9 @@
 	lister  recorder.Lister
 	metrics *metrics
 	memory  memory
+	// wire and store are nil unless the driver runs a managed entry.
+	wire  Wire
+	store Store
 	// progress is progressPatience.
 	progress time.Duration
 
@@ -46,7 +49,8 @@
 	attempts map[reducer.AttemptID]*attempt
 	patches  map[reducer.RequestID]chan reducer.AnswerPatch
 	pools    map[poolKey]*pool
-	servers  []*http.Server
+	conns    map[poolKey]*dialer.Pool
+	servers  []server
 	// drained is closed once all servers have ended their requests after StopListening; nil before.
 	drained chan struct{}
 
@@ -87,6 +91,7 @@
 		attempts: make(map[reducer.AttemptID]*attempt),
 		patches:  make(map[reducer.RequestID]chan reducer.AnswerPatch),
 		pools:    make(map[poolKey]*pool),
+		conns:    make(map[poolKey]*dialer.Pool),
 		done:     make(chan struct{}),
 	}
 	d.decide = d.node.Step
@@ -229,6 +234,8 @@
 		d.spawn(func() { d.append(e) })
 	case reducer.ListHosts:
 		d.spawn(func() { d.listHosts(e) })
+	case reducer.ReadStore:
+		d.spawn(func() { d.readStore(e) })
 	case reducer.Audit:
 		d.audit(e)
 	case reducer.Stop:
--- /dev/null
+++ b/internal/driver/follow.go
@@ -0,0 +1,126 @@
+package driver
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"github.com/azuretrestle/azuretrestle/internal/acceptor"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+)
+
+// ErrExpired is returned by a Store that no longer has the records asked for.
+var ErrExpired = errors.New("records have expired")
+
+// Page is a run of records of a topic.
+type Page struct {
+	Facts []reducer.Fact
+	// Next is the offset after the last record.
+	Next uint64
+}
+
+// Store is where the configuration and the upstreams of a managed deployment are kept.
+type Store interface {
+	// Newest returns the newest record of each key.
+	Newest(ctx context.Context, t reducer.Topic) (Page, error)
+	// Read returns the records from an offset on; without any it waits until the given time.
+	Read(ctx context.Context, t reducer.Topic, from uint64, waitUntil time.Time) (Page, error)
+}
+
+// WithStore makes the driver follow the configuration in a store.
+func WithStore(s Store) Option { return func(d *Driver) { d.store = s } }
+
+func (d *Driver) readStore(e reducer.ReadStore) {
+	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
+	defer cancel()
+	var page Page
+	var err error
+	if e.Whole {
+		page, err = d.store.Newest(ctx, e.Topic)
+	} else {
+		page, err = d.store.Read(ctx, e.Topic, e.From, e.WaitUntil)
+	}
+	if d.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		d.logger.Debug("store not read", zap.Stringer("Topic", e.Topic), zap.NamedError("Error", err))
+	}
+	d.post(func(s reducer.Stamp) reducer.Event {
+		if err != nil {
+			return reducer.StoreFailed{Stamp: s, Topic: e.Topic, Expired: errors.Is(err, ErrExpired), Problem: err.Error()}
+		}
+		return reducer.StoreRead{Stamp: s, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next}
+	})
+	if err == nil {
+		d.limitCallers()
+	}
+}
+
+// limitCallers passes the operator's limits on to the callers' connections.
+func (d *Driver) limitCallers() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l := d.node.Limits()
+	for _, s := range d.servers {
+		if a, ok := s.(*acceptor.Server); ok {
+			a.SetLimits(acceptor.Limits{Header: l.Header, HeaderPatience: l.HeaderPatience, Idle: l.Idle})
+		}
+	}
+}
+
+// ServeRoutes serves callers of a managed deployment on the listener, which it
+// owns from then on; it returns at once.
+func (d *Driver) ServeRoutes(lis net.Listener) {
+	s := acceptor.New(d.RouteHandler(), d.logger)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.drained != nil || d.ctx.Err() != nil {
+		_ = lis.Close()
+		return
+	}
+	d.servers = append(d.servers, s)
+	d.spawn(func() {
+		if err := s.Serve(lis); err != nil {
+			d.logger.Error("callers' listener failed", zap.NamedError("Error", err))
+		}
+	})
+}
+
+// SetRepeats changes how many requests all entries together may send once more.
+func (d *Driver) SetRepeats(ratio, slack float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.node.SetRepeats(ratio, slack)
+}
+
+// Ready reports whether new callers may use the entry.
+func (d *Driver) Ready() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ctx.Err() == nil && d.node.Ready()
+}
+
+// Entries returns the entries that a caller in a data centre should use.
+func (d *Driver) Entries(ctx context.Context, dataCentre string) (reducer.AnswerEntries, error) {
+	c := &call{reply: make(chan reply, 1)}
+	d.mu.Lock()
+	id := d.newID()
+	d.calls[id] = c
+	d.step(reducer.EntriesAsked{Stamp: stamp(), ID: id, DataCentre: dataCentre})
+	d.mu.Unlock()
+	select {
+	case rep := <-c.reply:
+		if e, ok := rep.(entries); ok {
+			return e.AnswerEntries, nil
+		}
+		return reducer.AnswerEntries{}, errors.New("no answer of the node")
+	case <-ctx.Done():
+		return reducer.AnswerEntries{}, ctx.Err()
+	case <-d.ctx.Done():
+		return reducer.AnswerEntries{}, context.Canceled
+	}
+}
--- a/internal/driver/life.go
+++ b/internal/driver/life.go
@@ -47,7 +47,7 @@
 		_ = lis.Close()
 		return
 	}
-	d.servers = append(d.servers, server)
+	d.servers = append(d.servers, netServer{server})
 	d.spawn(func() {
 		if err := server.Serve(lis); err != nil && err != http.ErrServerClosed {
 			d.logger.Error("callers' listener failed", zap.NamedError("Error", err))
@@ -55,6 +55,18 @@
 	})
 }
 
+// server is a listener for callers.
+type server interface {
+	Shutdown(ctx context.Context) error
+	Close()
+}
+
+// netServer is the server of net/http.
+type netServer struct{ *http.Server }
+
+// Close ends all connections at once.
+func (s netServer) Close() { _ = s.Server.Close() }
+
 // connState makes Close wait for the connections' goroutines, which may
 // linger after their handlers. A new connection is counted while Serve is.
 func (d *Driver) connState(_ net.Conn, s http.ConnState) {
@@ -94,7 +106,7 @@
 	servers := d.servers
 	d.mu.Unlock()
 	for _, s := range servers {
-		_ = s.Close()
+		s.Close()
 	}
 	d.peers.Close()
 	d.work.Wait()
@@ -103,6 +115,9 @@
 	for _, p := range d.pools {
 		p.retire()
 	}
+	for _, p := range d.conns {
+		p.Retire()
+	}
 	if d.peerListener != nil {
 		_ = d.peerListener.Close()
 	}
--- a/internal/driver/pool.go
+++ b/internal/driver/pool.go
@@ -196,10 +196,20 @@
 			d.metrics.forget(key.service, p.upstream)
 		}
 	}
+	for key, p := range d.conns {
+		if !keep[key] {
+			p.Retire()
+			delete(d.conns, key)
+		}
+	}
 }
 
 func (d *Driver) closeIdle(e reducer.CloseIdle) {
-	if p, ok := d.pools[poolKey{e.Service, e.Address.String()}]; ok {
+	key := poolKey{e.Service, e.Address.String()}
+	if p, ok := d.pools[key]; ok {
 		p.kept.CloseIdleConnections()
 	}
+	if p, ok := d.conns[key]; ok {
+		p.CloseIdle()
+	}
 }
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/dialer"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
@@ -44,6 +45,8 @@
 	late *time.Timer
 	// answer is set before the node hears of it; guarded by the driver's mu.
 	answer *answer
+	// conns is set in place of pool for a managed entry.
+	conns *dialer.Pool
 }
 
 // dispatch starts an attempt; d.mu is held.
@@ -52,12 +55,18 @@
 	if !ok {
 		return
 	}
-	a := &attempt{id: e.Attempt, call: c, pool: d.pool(e, e.Address.String())}
+	a := &attempt{id: e.Attempt, call: c}
+	run := func() { d.try(e, a) }
+	if d.wire != nil {
+		a.conns = d.connections(e)
+		run = func() { d.tryRoute(e, a) }
+	} else {
+		a.pool = d.pool(e, e.Address.String())
+	}
 	a.ctx, a.cancel = context.WithCancel(d.ctx)
 	a.late = time.AfterFunc(time.Until(e.Deadline), a.cancel)
 	d.attempts[e.Attempt] = a
 	c.attempts = append(c.attempts, a)
-	run := func() { d.try(e, a) }
 	if c.arriving && c.inline == nil {
 		c.inline = run
 		c.own = a
@@ -147,7 +156,7 @@
 func (d *Driver) failed(e reducer.Dispatch, a *attempt, f balancer.Failure, sent bool) {
 	a.late.Stop()
 	a.cancel()
-	a.pool.finished()
+	a.finished()
 	d.metrics.attempt(e.Service, e.Upstream, f)
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -164,17 +173,28 @@
 	d.step(reducer.AttemptFailed{Stamp: stamp(), Attempt: a.id, Failure: f, Sent: sent})
 }
 
+// finished lets a retired pool close the connection of the attempt.
+func (a *attempt) finished() {
+	if a.pool != nil {
+		a.pool.finished()
+	}
+}
+
 // answered offers an answer to the node. It is kept until the node relays it,
 // cancels the attempt or ends the call.
 func (d *Driver) answered(e reducer.Dispatch, ans *answer) {
 	a := ans.attempt
 	a.late.Stop()
 	d.metrics.attempt(e.Service, e.Upstream, balancer.FailureNone)
-	ev := reducer.UpstreamAnswered{
-		Attempt: a.id, Status: ans.status, Whole: ans.whole,
-		NotRun:   ans.header.Get(headerNotRun) != "",
-		Draining: ans.header.Get(headerDraining) != "",
-		Report:   parseReport(ans.header.Get(headerLoad)),
+	ev := reducer.UpstreamAnswered{Attempt: a.id, Status: ans.status, Whole: ans.whole}
+	if d.wire != nil {
+		head := d.wire.Answer(ans.status, ans.header)
+		ev.NotRun = head.NotRun
+		ev.Report = head.Report
+	} else {
+		ev.NotRun = ans.header.Get(headerNotRun) != ""
+		ev.Draining = ans.header.Get(headerDraining) != ""
+		ev.Report = parseReport(ans.header.Get(headerLoad))
 	}
 	if e.StoreAnswer && ans.whole {
 		ev.Body = ans.held.body
--- a/internal/reducer/audit.go
+++ b/internal/reducer/audit.go
@@ -35,8 +35,11 @@
 	n.sequence++
 	e.At = n.now
 	e.Origin = auditor.Origin(n.Name, n.Incarnation, n.sequence)
-	n.trailBuffer.Add(e)
 	n.emit(Audit{e})
+	if n.Managed != nil {
+		return
+	}
+	n.trailBuffer.Add(e)
 	n.scheduleFlush()
 }
 
--- a/internal/reducer/entries.go
+++ b/internal/reducer/entries.go
@@ -1,11 +1,23 @@
 package reducer
 
-import "github.com/azuretrestle/azuretrestle/internal/director"
+import (
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/director"
+)
+
+// answerPeriod is how long a caller may use an answer.
+func (n *Node) answerPeriod() time.Duration {
+	if n.Managed != nil {
+		return n.Managed.AnswerPeriod
+	}
+	return director.AnswerPeriod
+}
 
 // entriesAsked names entries to a caller; the list is empty if none is known to be usable.
 func (n *Node) entriesAsked(ev EntriesAsked) {
 	n.refresh()
-	a := AnswerEntries{ID: ev.ID, Expires: n.now.Add(director.AnswerPeriod)}
+	a := AnswerEntries{ID: ev.ID, Expires: n.now.Add(n.answerPeriod())}
 	usable := director.Usable(n.view.Alive(n.now))
 	for _, e := range director.Choose(usable, ev.DataCentre, n.random) {
 		a.Entries = append(a.Entries, EntryAddress{Name: e.Name, Address: e.CallerAddress, DataCentre: e.DataCentre})
--- /dev/null
+++ b/internal/reducer/follow.go
@@ -0,0 +1,310 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/internal/registrar"
+	"github.com/azuretrestle/azuretrestle/internal/router"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// Managed describes a deployment whose operator writes whole configurations to
+// a store, where upstreams register themselves.
+type Managed struct {
+	// AnswerPeriod is how long a caller may use an answer that names entries.
+	AnswerPeriod time.Duration
+	// RepeatRatio is the largest share of a service's requests that all entries
+	// together may send once more.
+	RepeatRatio float64
+	// RepeatSlack is the number of repeats beyond that share, all entries together.
+	RepeatSlack float64
+}
+
+const (
+	// pollInterval is how often upstreams' registrations are read. A drain has to
+	// take effect within 2 s, of which an answer of the store may take some.
+	pollInterval = 800 * time.Millisecond
+	// documentWait is how long a read waits for a new document.
+	documentWait = 15 * time.Second
+	// storeMargin is the time beyond its wait after which a read has failed.
+	storeMargin = 1500 * time.Millisecond
+	// retryInterval is the pause after a failed read; a random part of it is added.
+	retryInterval = 300 * time.Millisecond
+	// outagePeriod is the length of an outage from which registrations may have expired by it.
+	outagePeriod = 2 * time.Second
+	// managedShare is the part of the allowed repeats that is used, since entries
+	// count requests at other times than those who judge them.
+	managedShare = 0.85
+	// slackShare is the part of the slack that is used.
+	slackShare = 0.7
+	// leastEntries is the number of entries assumed to share the slack while fewer are known.
+	leastEntries = 6
+)
+
+// Topic is a part of the store that a managed entry follows.
+type Topic uint8
+
+// The topics.
+const (
+	TopicDocument Topic = iota
+	TopicUpstreams
+	topics
+)
+
+// String returns the topic's name.
+func (t Topic) String() string {
+	names := [...]string{"Document", "Upstreams"}
+	if int(t) < len(names) {
+		return names[t]
+	}
+	return "Unknown"
+}
+
+// Fact is one record of the store.
+type Fact interface{ fact() }
+
+// DocumentFact is a configuration of the operator.
+type DocumentFact struct{ registrar.Document }
+
+// RegistrationFact is what an upstream says of itself.
+type RegistrationFact struct{ registrar.Registration }
+
+// RemovalFact ends the registration of an upstream.
+type RemovalFact struct{ Name string }
+
+// UnreadableFact is a record that makes no sense; what it would replace stays in force.
+type UnreadableFact struct {
+	Name    string
+	Problem string
+}
+
+func (DocumentFact) fact()     {}
+func (RegistrationFact) fact() {}
+func (RemovalFact) fact()      {}
+func (UnreadableFact) fact()   {}
+
+// ReadStore reads a topic.
+type ReadStore struct {
+	Topic Topic
+	// Whole asks for the newest record of each key instead of the records from an offset on.
+	Whole bool
+	From  uint64
+	// WaitUntil is when the read ends without a record; zero means at once.
+	WaitUntil time.Time
+	Deadline  time.Time
+}
+
+// StoreRead delivers records of a topic in their order.
+type StoreRead struct {
+	Stamp
+	Topic Topic
+	// Whole is set if Facts are all that the topic holds.
+	Whole bool
+	Facts []Fact
+	// Next is the offset after the last record.
+	Next uint64
+}
+
+// StoreFailed reports a read of the store without a usable answer.
+type StoreFailed struct {
+	Stamp
+	Topic Topic
+	// Expired is set if the store no longer has the records.
+	Expired bool
+	Problem string
+}
+
+func (ReadStore) effect()  {}
+func (StoreRead) event()   {}
+func (StoreFailed) event() {}
+
+// following is a managed node's part in reading the store.
+type following struct {
+	registrar *registrar.Registrar
+	config    *patcher.Config
+	routes    *router.Table
+	read      [topics]reading
+	// expiry is the timer of lapsed registrations.
+	expiry *timer
+	// entries is the number of entries that the configuration in force was divided by.
+	entries int
+}
+
+// reading is the progress in one topic.
+type reading struct {
+	next uint64
+	// loaded is set once the topic was read whole.
+	loaded bool
+	// failedAt is when the first of the last reads failed; zero while the store answers.
+	failedAt time.Time
+	readAt   time.Time
+}
+
+func newFollowing() following {
+	return following{registrar: registrar.New(), config: &patcher.Config{}, routes: router.New(nil)}
+}
+
+// complete reports whether requests can be served.
+func (f *following) complete() bool {
+	return f.registrar.Loaded() && f.read[TopicUpstreams].loaded
+}
+
+func (n *Node) startFollowing() {
+	for t := range topics {
+		n.readWhole(t)
+	}
+}
+
+func (n *Node) readWhole(t Topic) {
+	n.emit(ReadStore{Topic: t, Whole: true, Deadline: n.now.Add(storeMargin)})
+}
+
+func (n *Node) readOn(t Topic) {
+	r := ReadStore{Topic: t, From: n.follow.read[t].next, Deadline: n.now.Add(storeMargin)}
+	if t == TopicDocument {
+		r.WaitUntil = n.now.Add(documentWait)
+		r.Deadline = r.WaitUntil.Add(storeMargin)
+	}
+	n.emit(r)
+}
+
+func (n *Node) storeRead(ev StoreRead) {
+	r := &n.follow.read[ev.Topic]
+	if !r.failedAt.IsZero() {
+		n.storeBack(ev.Topic, r)
+	}
+	r.next = ev.Next
+	r.readAt = n.now
+	r.loaded = r.loaded || ev.Whole
+	names := make(map[string]bool)
+	for _, f := range ev.Facts {
+		n.takeFact(f, names)
+	}
+	if ev.Whole && ev.Topic == TopicUpstreams {
+		n.follow.registrar.Keep(n.now, names)
+	}
+	n.applyStore()
+	if ev.Topic == TopicDocument {
+		n.readOn(ev.Topic)
+		return
+	}
+	n.after(n.now.Add(pollInterval), func() { n.readOn(ev.Topic) })
+}
+
+func (n *Node) storeBack(t Topic, r *reading) {
+	if t == TopicUpstreams && n.now.Sub(r.failedAt) >= outagePeriod {
+		n.follow.registrar.Resumed(n.now)
+	}
+	r.failedAt = time.Time{}
+	n.audit(auditor.Entry{Actor: n.Name, Action: "StoreBack", Subject: t.String(), Cause: "read succeeded", Version: n.Config().Version})
+}
+
+func (n *Node) storeFailed(ev StoreFailed) {
+	if ev.Expired {
+		n.readWhole(ev.Topic)
+		return
+	}
+	r := &n.follow.read[ev.Topic]
+	if r.failedAt.IsZero() {
+		r.failedAt = n.now
+		n.audit(auditor.Entry{Actor: n.Name, Action: "StoreLost", Subject: ev.Topic.String(), Cause: ev.Problem, Version: n.Config().Version})
+	}
+	pause := retryInterval + time.Duration(n.random.Int64N(int64(retryInterval)))
+	n.after(n.now.Add(pause), func() {
+		if r.loaded {
+			n.readOn(ev.Topic)
+			return
+		}
+		n.readWhole(ev.Topic)
+	})
+}
+
+func (n *Node) takeFact(f Fact, names map[string]bool) {
+	g := n.follow.registrar
+	switch f := f.(type) {
+	case DocumentFact:
+		if g.Load(f.Document) {
+			n.follow.routes = g.Table()
+			n.audit(auditor.Entry{Actor: "Operator", Action: "ConfigInForce", Subject: "Document", Cause: "read from the store", Version: f.Version})
+		}
+	case RegistrationFact:
+		names[f.Name] = true
+		g.Register(f.Registration)
+	case RemovalFact:
+		g.Deregister(n.now, f.Name)
+	case UnreadableFact:
+		names[f.Name] = true
+		n.audit(auditor.Entry{Actor: f.Name, Action: "RecordIgnored", Subject: f.Name, Cause: f.Problem, Version: n.Config().Version})
+	}
+}
+
+// applyStore puts changes of the document, the registrations and the number of entries in force.
+func (n *Node) applyStore() {
+	f := &n.follow
+	n.timers.stop(f.expiry)
+	f.expiry = nil
+	if next := f.registrar.Expire(n.now); !next.IsZero() {
+		f.expiry = n.after(next, n.applyStore)
+	}
+	c, changed := f.registrar.Config()
+	if !changed && f.entries != n.entryCount() {
+		c = f.config
+		changed = f.registrar.Loaded()
+	}
+	if !changed {
+		n.refresh()
+		return
+	}
+	f.entries = n.entryCount()
+	f.config = n.divide(c)
+	n.takeConfig(f.config)
+	n.refresh()
+	for _, name := range sortedKeys(n.services) {
+		n.pump(n.services[name])
+	}
+}
+
+// divide returns a configuration that divides what upstreams grant by the number of entries.
+func (n *Node) divide(c *patcher.Config) *patcher.Config {
+	out := &patcher.Config{Version: c.Version, Services: make([]patcher.Service, len(c.Services))}
+	copy(out.Services, c.Services)
+	for i := range out.Services {
+		out.Services[i].MaxEntries = n.follow.entries
+	}
+	return out
+}
+
+// entryCount is the number of entries that share the upstreams.
+func (n *Node) entryCount() int { return max(len(n.view.Alive(n.now)), 1) }
+
+// managedAllowance is this entry's part of the slack of repeats.
+func (n *Node) managedAllowance() *allowance {
+	most := n.Managed.RepeatSlack * slackShare / float64(max(n.entryCount(), leastEntries))
+	return &allowance{saved: most, most: most}
+}
+
+// SetRepeats changes the bounds on repeats; what was saved up stays within them.
+func (n *Node) SetRepeats(ratio, slack float64) {
+	n.Managed.RepeatRatio = ratio
+	n.Managed.RepeatSlack = slack
+	for _, s := range n.services {
+		s.repeats.most = n.managedAllowance().most
+		s.repeats.saved = min(s.repeats.saved, s.repeats.most)
+	}
+}
+
+// Match returns the route of a request and the service that serves it; it
+// reports false if there is none.
+func (n *Node) Match(host, path string) (router.Route, string, bool) {
+	return n.follow.routes.Match(host, path)
+}
+
+// Configured reports whether the node has a configuration.
+func (n *Node) Configured() bool { return n.Config().Version > 0 }
+
+// Ready reports whether new callers may use the entry.
+func (n *Node) Ready() bool { return n.stop.phase == PhaseServing && n.mayStart() }
+
+// Limits returns the limits on callers of the document in force.
+func (n *Node) Limits() registrar.Limits { return n.follow.registrar.Document().Limits }
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -20,9 +20,9 @@
 )
 
 // allowance bounds extra attempts to a share of the requests.
-type allowance struct{ saved float64 }
+type allowance struct{ saved, most float64 }
 
-func (a *allowance) earn(share float64) { a.saved = min(a.saved+share, maxSaved) }
+func (a *allowance) earn(share float64) { a.saved = min(a.saved+share, a.most) }
 
 func (a *allowance) spend() bool {
 	if a.saved < 1 {
@@ -34,6 +34,10 @@
 
 // earn counts a new request for the allowances of extra attempts.
 func (s *service) earn() {
+	if m := s.node.Managed; m != nil {
+		s.repeats.earn(m.RepeatRatio * managedShare)
+		return
+	}
 	f := 1.0
 	if s.queue.Waiting() > 0 {
 		f = overloadFactor
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -50,9 +50,11 @@
 	for _, t := range n.view.Next(n.now, n.random) {
 		n.ask(t)
 	}
-	n.fetch()
-	n.settle()
-	n.confirm()
+	if n.Managed == nil {
+		n.fetch()
+		n.settle()
+		n.confirm()
+	}
 	n.reportSilent()
 }
 
@@ -83,6 +85,12 @@
 
 func (n *Node) exchange(from string, m Exchange) {
 	n.view.Take(n.now, m.Exchange)
+	if n.Managed != nil {
+		n.refresh()
+		n.respond(from, m)
+		n.acknowledged(from, m.You)
+		return
+	}
 	n.takeRecords(m.Records)
 	if n.config.log.Folded() >= m.Next {
 		n.config.fresh.LogAt = later(n.config.fresh.LogAt, n.view.LogAt(m.Exchange))
@@ -108,13 +116,15 @@
 		out.Profile = n.view.Profile()
 	}
 	out.Profiles = n.view.Profiles(m.Wanted)
-	out.Records = n.delta(m.Next)
+	if n.Managed == nil {
+		out.Records = n.delta(m.Next)
+	}
 	n.send(from, Exchange{out})
 }
 
 // refresh brings the own row and the evidence up to date.
 func (n *Node) refresh() {
-	version := n.config.log.Config().Version
+	version := n.Config().Version
 	f := &n.config.fresh
 	behind := n.view.Top() > version
 	switch {
@@ -124,10 +134,10 @@
 		f.BehindUntil = n.now.Add(versioner.FetchPeriod)
 	}
 	n.heardMajority(n.view.Majority(n.now))
-	if n.state == gossiper.Starting && !behind && n.mayStart() {
+	if n.state == gossiper.Starting && (!behind || n.Managed != nil) && n.mayStart() {
 		n.state = gossiper.Alive
 	}
-	n.view.Update(n.now, n.state, version, len(n.requests), !f.Fresh(n.now))
+	n.view.Update(n.now, n.state, version, len(n.requests), !n.fresh())
 	n.reportChanges()
 }
 
@@ -141,6 +151,9 @@
 // mayStart reports whether a starting entry has the current configuration: from
 // the log's tail, or from peers while it hears a majority of which it is no part.
 func (n *Node) mayStart() bool {
+	if n.Managed != nil {
+		return n.follow.complete()
+	}
 	f := n.config.fresh
 	return f.Fresh(n.now) && (!f.LogAt.IsZero() || n.config.log.Configured())
 }
@@ -159,8 +172,9 @@
 	}
 }
 
-// fresh reports whether the entry has evidence that its version is current.
-func (n *Node) fresh() bool { return n.config.fresh.Fresh(n.now) }
+// fresh reports whether the entry has evidence that its version is current. A
+// managed entry needs none: it serves by the last version while the store is away.
+func (n *Node) fresh() bool { return n.Managed != nil || n.config.fresh.Fresh(n.now) }
 
 func (n *Node) listHosts() {
 	n.emit(ListHosts{Deadline: n.now.Add(listPatience)})
@@ -183,7 +197,7 @@
 // reports its own ones, since all others may hear of them at different times.
 func (n *Node) reportChanges() {
 	for _, c := range n.view.Changes() {
-		e := auditor.Entry{Actor: c.Name, Action: "Member" + c.State.String(), Subject: c.Name, Cause: "announced", Version: n.config.log.Config().Version}
+		e := auditor.Entry{Actor: c.Name, Action: "Member" + c.State.String(), Subject: c.Name, Cause: "announced", Version: n.Config().Version}
 		if c.Name == n.Name {
 			n.audit(e)
 		}
@@ -202,7 +216,7 @@
 		}
 		reported := n.members.silent[e.Name] == e.Incarnation
 		silent := e.State != gossiper.Stopped && e.HeardAt.Before(before)
-		version := n.config.log.Config().Version
+		version := n.Config().Version
 		switch {
 		case silent && !reported:
 			n.members.silent[e.Name] = e.Incarnation
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -28,6 +28,8 @@
 	Peers []netip.AddrPort
 	// LogRetention is how long the log keeps records; 0 means 24 hours.
 	LogRetention time.Duration
+	// Managed is set if the configuration is kept outside and only followed; patches are refused then.
+	Managed *Managed
 }
 
 // Node is the state of one entry.
@@ -45,6 +47,7 @@
 	state    gossiper.State
 	members  membership
 	stop     stopping
+	follow   following
 	auditing
 }
 
@@ -63,6 +66,7 @@
 		once:     newOnceOnly(o),
 		config:   configuration{log: versioner.NewLog(), patches: make(map[string]*submission)},
 		members:  membership{silent: make(map[string]uint64)},
+		follow:   newFollowing(),
 	}
 }
 
@@ -72,9 +76,13 @@
 	n.view.Begin(now)
 	n.members.nextAt = now
 	n.members.resumedAt = now
-	n.readConfig()
-	n.readAudit()
-	n.listHosts()
+	if n.Managed != nil {
+		n.startFollowing()
+	} else {
+		n.readConfig()
+		n.readAudit()
+		n.listHosts()
+	}
 	n.gossip()
 	return n.finish()
 }
@@ -125,6 +133,10 @@
 		n.entriesAsked(ev)
 	case StopRequested:
 		n.stopRequested()
+	case StoreRead:
+		n.storeRead(ev)
+	case StoreFailed:
+		n.storeFailed(ev)
 	}
 }
 
@@ -153,7 +165,12 @@
 func (n *Node) after(deadline time.Time, f func()) *timer { return n.timers.start(deadline, f) }
 
 // Config returns the configuration that the node has in force.
-func (n *Node) Config() *patcher.Config { return n.config.log.Config() }
+func (n *Node) Config() *patcher.Config {
+	if n.Managed != nil {
+		return n.follow.config
+	}
+	return n.config.log.Config()
+}
 
 // Rank returns a rank of a service, or the code of the refusal if there is none.
 func (n *Node) Rank(service, rank string) (patcher.Rank, classifier.Code) {
--- a/internal/reducer/patch.go
+++ b/internal/reducer/patch.go
@@ -194,7 +194,7 @@
 }
 
 func (n *Node) patienceEnded(s *submission) {
-	a := AnswerPatch{Code: classifier.PatchPending, Version: n.config.log.Config().Version, Detail: detailUncertain}
+	a := AnswerPatch{Code: classifier.PatchPending, Version: n.Config().Version, Detail: detailUncertain}
 	if f, ok := n.config.log.Find(s.id); ok && f.Accepted {
 		a = AnswerPatch{Code: classifier.PatchPending, Version: f.Version, Pending: n.waitingFor(s)}
 	}
@@ -205,7 +205,7 @@
 	delete(n.config.patches, s.id)
 	n.timers.stop(s.timer)
 	if a.Version == 0 {
-		a.Version = n.config.log.Config().Version
+		a.Version = n.Config().Version
 	}
 	if a.Code == classifier.LogUnavailable {
 		n.audit(auditor.Entry{Actor: s.actor, Action: "PatchRefused", Subject: s.id, Cause: a.Detail, Version: a.Version})
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -13,6 +13,9 @@
 // maxAttempts bounds the dispatches of one request.
 const maxAttempts = 3
 
+// defaultPatience is the time to the deadline if neither the rank nor the caller names one.
+const defaultPatience = 30 * time.Second
+
 // maxNotRun bounds the attempts beyond maxAttempts for those that did not run.
 // They cost an upstream next to nothing, and the request was accepted.
 const maxNotRun = 3
@@ -32,7 +35,9 @@
 	// mayHaveRun is set once an attempt ended without certainty that it did not run.
 	mayHaveRun bool
 	// notRun counts the attempts that certainly did not run.
-	notRun   int
+	notRun int
+	// unsent counts those of them that never reached an upstream.
+	unsent   int
 	attempts []*attempt
 	timer    *timer
 	// once is nil unless the rank is once-only.
@@ -69,7 +74,11 @@
 		return
 	}
 	r := &request{id: ev.ID, service: s, rank: *rank, replayable: ev.Replayable}
-	r.deadline = n.now.Add(rank.Patience.Duration)
+	patience := rank.Patience.Duration
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	r.deadline = n.now.Add(patience)
 	if !ev.Deadline.IsZero() && ev.Deadline.Before(r.deadline) {
 		r.deadline = ev.Deadline
 	}
@@ -206,7 +215,7 @@
 	}
 	if ev.NotRun {
 		n.close(r, a, balancer.Feedback{NotRun: true, Draining: ev.Draining, Report: ev.Report})
-		n.repeat(r, classifier.UpstreamRefused, classifier.OutcomeNotRun)
+		n.repeat(r, classifier.UpstreamRefused, classifier.OutcomeNotRun, true)
 		n.pump(r.service)
 		return
 	}
@@ -215,7 +224,7 @@
 		f.Failure = balancer.FailureStatus
 		if r.open() > 1 || r.idempotent() && n.canRepeat(r) && r.service.repeats.saved >= 1 {
 			n.close(r, a, f)
-			n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown)
+			n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown, true)
 			n.pump(r.service)
 			return
 		}
@@ -269,7 +278,7 @@
 	}
 	n.close(r, a, balancer.Feedback{Failure: ev.Failure})
 	code, outcome := failureResult(ev)
-	n.repeat(r, code, outcome)
+	n.repeat(r, code, outcome, ev.Sent)
 	n.pump(r.service)
 }
 
@@ -291,8 +300,12 @@
 }
 
 // repeat queues a request again if that is safe, and refuses it otherwise. Only
-// attempts that may have run count against the allowance.
-func (n *Node) repeat(r *request, code classifier.Code, outcome classifier.Outcome) {
+// attempts that may have run count against the allowance; for a managed entry
+// all do that may have reached an upstream.
+func (n *Node) repeat(r *request, code classifier.Code, outcome classifier.Outcome, arrived bool) {
+	if !arrived {
+		r.unsent++
+	}
 	if outcome == classifier.OutcomeNotRun {
 		r.notRun++
 	} else {
@@ -305,7 +318,8 @@
 		n.end(r)
 		return
 	}
-	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) && (outcome == classifier.OutcomeNotRun || r.service.repeats.spend()) {
+	free := outcome == classifier.OutcomeNotRun && (n.Managed == nil || !arrived)
+	if (!r.mayHaveRun || r.idempotent()) && n.canRepeat(r) && (free || r.service.repeats.spend()) {
 		n.enqueue(r)
 		return
 	}
@@ -318,6 +332,9 @@
 // Each attempt needs an upstream that had none before.
 func (n *Node) canRepeat(r *request) bool {
 	limit := min(maxAttempts+min(r.notRun, maxNotRun), r.service.pool.Len())
+	if r.rank.Attempts > 0 {
+		limit = min(limit, r.rank.Attempts+r.unsent)
+	}
 	return r.replayable && len(r.attempts) < limit && n.now.Before(r.deadline)
 }
 
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -20,14 +20,22 @@
 	removed bool
 	// probe is the timer of the next probe.
 	probe *timer
-	// hedges and repeats bound the extra attempts.
-	hedges, repeats allowance
+	// hedges and repeats bound the extra attempts; a managed entry has one bound for both.
+	hedges, repeats *allowance
 }
 
 func newService(n *Node, name string) *service {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
-	return &service{node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New(), hedges: allowance{maxSaved}, repeats: allowance{maxSaved}}
+	s := &service{
+		node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New(),
+		hedges: &allowance{saved: maxSaved, most: maxSaved}, repeats: &allowance{saved: maxSaved, most: maxSaved},
+	}
+	if n.Managed != nil {
+		s.repeats = n.managedAllowance()
+		s.hedges = s.repeats
+	}
+	return s
 }
 
 // urgent reports whether no rank of the service comes before the given one.
@@ -41,6 +49,9 @@
 }
 
 func (s *service) update(c *patcher.Service) {
+	if !s.removed && s.same(c) {
+		return
+	}
 	s.planProbes(c)
 	s.config = *c
 	s.removed = false
@@ -49,6 +60,13 @@
 	s.queue.Update(c.Ranks)
 }
 
+// same reports whether a configuration of the service is the one in force.
+func (s *service) same(c *patcher.Service) bool {
+	have := s.config
+	return have.Name == c.Name && have.MeasuringBudget == c.MeasuringBudget && have.MaxEntries == c.MaxEntries &&
+		have.HealthPath == c.HealthPath && slices.Equal(have.Ranks, c.Ranks) && slices.Equal(have.Upstreams, c.Upstreams)
+}
+
 // hostsChanged passes on which upstreams the platform's host list names as leaving.
 func (n *Node) hostsChanged(ev HostsListed) {
 	for _, h := range ev.Hosts {
@@ -66,7 +84,7 @@
 	for _, c := range s.pool.Changes() {
 		n.audit(auditor.Entry{
 			Actor: n.Name, Action: "Upstream" + string(c.State), Subject: s.config.Name + "/" + c.Name,
-			Cause: c.Reason, Version: n.config.log.Config().Version,
+			Cause: c.Reason, Version: n.Config().Version,
 		})
 	}
 }
--- a/internal/reducer/silence.go
+++ b/internal/reducer/silence.go
@@ -40,6 +40,6 @@
 	r.fresh = true
 	n.close(r, a, balancer.Feedback{Failure: balancer.FailureSilent})
 	n.emit(Cancel{Attempt: a.id})
-	n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown)
+	n.repeat(r, classifier.ConnectionLost, classifier.OutcomeUnknown, true)
 	n.pump(s)
 }
--- a/internal/reducer/status.go
+++ b/internal/reducer/status.go
@@ -44,7 +44,7 @@
 func (n *Node) Evidence() Evidence {
 	f := n.config.fresh
 	return Evidence{
-		Version: n.config.log.Config().Version, Newest: n.view.Top(),
+		Version: n.Config().Version, Newest: n.view.Top(),
 		LogAt: f.LogAt, PeersAt: f.PeersAt, ExpiresAt: f.ExpiresAt(),
 		LogReachable: !n.config.failing, Gap: n.config.log.Gap(),
 	}
--- a/internal/reducer/stop.go
+++ b/internal/reducer/stop.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
-	"github.com/azuretrestle/azuretrestle/internal/director"
 	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 )
 
@@ -12,6 +11,8 @@
 	// announcePatience bounds the wait for peers to acknowledge Leaving. A peer
 	// that did not hear it suspects this entry by then.
 	announcePatience = gossiper.SuspicionPeriod
+	// managedFarewell is farewellPatience for a managed entry.
+	managedFarewell = 200 * time.Millisecond
 	// farewellPatience bounds the wait for peers to acknowledge Stopped and for the last audit records.
 	farewellPatience = 2 * time.Second
 )
@@ -96,7 +97,7 @@
 		n.expire()
 	case n.stop.phase == PhaseDraining && !n.busy():
 		n.stop.phase = PhaseFarewell
-		n.announce(gossiper.Stopped, farewellPatience, n.stopped)
+		n.announce(gossiper.Stopped, n.farewellPatience(), n.stopped)
 	case n.stop.phase == PhaseFarewell && confirmed && n.trailBuffer.Empty():
 		n.stopped()
 	}
@@ -106,15 +107,23 @@
 func (n *Node) expire() {
 	n.timers.stop(n.stop.timer)
 	n.stop.phase = PhaseExpiring
-	n.stop.timer = n.after(n.now.Add(director.AnswerPeriod), n.drain)
+	n.stop.timer = n.after(n.now.Add(n.answerPeriod()), n.drain)
 }
 
 func (n *Node) drain() {
 	n.stop.phase = PhaseDraining
-	n.audit(auditor.Entry{Actor: n.Name, Action: "EntryDraining", Subject: n.Name, Cause: "stop requested", Version: n.config.log.Config().Version})
+	n.audit(auditor.Entry{Actor: n.Name, Action: "EntryDraining", Subject: n.Name, Cause: "stop requested", Version: n.Config().Version})
 	n.emit(Stop{Phase: StopListening})
 }
 
+// farewellPatience is short for a managed entry, which leaves no audit records behind.
+func (n *Node) farewellPatience() time.Duration {
+	if n.Managed != nil {
+		return managedFarewell
+	}
+	return farewellPatience
+}
+
 func (n *Node) stopped() {
 	n.timers.stop(n.stop.timer)
 	n.stop.phase = PhaseStopped
--- a/pkg/classifier/classifier.go
+++ b/pkg/classifier/classifier.go
@@ -57,6 +57,7 @@
 	BodyTooLarge     Code = 105
 	MalformedRequest Code = 106
 	CallerGone       Code = 107
+	UnknownRoute     Code = 108
 
 	QueueFull           Code = 201
 	DeadlineUnreachable Code = 202
@@ -117,6 +118,8 @@
 	MalformedRequest: {"MalformedRequest", "the request is malformed", http.StatusBadRequest},
 	CallerGone:       {"CallerGone", "the caller closed the connection", 499},
 
+	UnknownRoute: {"UnknownRoute", "no route matches the host and path", http.StatusNotFound},
+
 	QueueFull:           {"QueueFull", "the queue of the rank is full", http.StatusServiceUnavailable},
 	DeadlineUnreachable: {"DeadlineUnreachable", "the deadline can't be met at the current load", http.StatusServiceUnavailable},
 	DeadlinePassed:      {"DeadlinePassed", "the deadline passed before dispatch", http.StatusServiceUnavailable},
--- a/pkg/patcher/config.go
+++ b/pkg/patcher/config.go
@@ -22,6 +22,8 @@
 	MaxEntries int
 	Ranks      []Rank
 	Upstreams  []Upstream
+	// HealthPath is where an upstream answers probes; empty means the entry's own.
+	HealthPath string `json:",omitempty"`
 }
 
 // Kind says whether a request may run more than once.
@@ -31,6 +33,9 @@
 const (
 	Idempotent Kind = "Idempotent"
 	OnceOnly   Kind = "OnceOnly"
+	// Unrepeatable requests run at most once each and carry no key. They are sent
+	// again only if no upstream can have run them. Patches can't name this kind.
+	Unrepeatable Kind = "Unrepeatable"
 )
 
 // Rank is a class of work within a service.
@@ -49,6 +54,9 @@
 	MaxQueue int
 	// MaxBody bounds a request body in bytes.
 	MaxBody int64
+	// Attempts bounds the upstreams that one request may run on; 0 means no bound
+	// beyond that of the entry.
+	Attempts int `json:",omitempty"`
 }
 
 // Upstream is one server of a service.
@@ -62,6 +70,8 @@
 	Connections int
 	// Draining tells the entries to give the upstream no new work.
 	Draining bool
+	// Born tells two starts under one name apart, 0 if it is not known.
+	Born int64 `json:",omitempty"`
 }
 
 // Period is a length of time that is written as text, such as "50ms".
