Probe an upstream before an attempt where upstreams tell their pace

Change: before an attempt goes to an upstream of which nothing newer than 15 ms is known, a probe reads its load and pace; a slow or full one is passed over, at most three times. A read of the store that began during an outage is sent again once registrations can be read.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -67,6 +67,8 @@
 	doubted []*upstream
 	probes  uint64
 	changes []Change
+	// meanPace is the mean pace over all reports; 0 while none told a pace.
+	meanPace float64
 }
 
 // Need describes the request that an upstream is picked for.
@@ -253,7 +255,7 @@
 		p.signal(now, u)
 	}
 	if f.Report != nil {
-		u.observe(now, *f.Report)
+		p.observe(now, u, *f.Report)
 	}
 	p.learn(now, a, f)
 }
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -72,7 +72,7 @@
 // cost ranks the candidates; the lowest is picked.
 func (p *Pool) cost(now time.Time, u *upstream) float64 {
 	use := (float64(u.inFlight) + reportTrust*u.othersNow(now) + 1) / float64(u.Slots)
-	c := u.slownessNow(now) * (idleCost + use) * u.costFactor(now)
+	c := u.slownessNow(now) * (idleCost + use) * u.costFactor(now) * p.paceNow(now, u)
 	if !u.suspectedAt.IsZero() {
 		c *= trialCost
 	}
--- /dev/null
+++ b/internal/balancer/pace.go
@@ -0,0 +1,77 @@
+package balancer
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// paceLife is the time in which knowledge of an upstream's pace falls to 1/e.
+	paceLife = 120 * time.Millisecond
+	// paceWeight is the weight of a new report in the mean pace.
+	paceWeight = 0.02
+	// slowPace is the pace from which work that can wait a moment goes elsewhere.
+	slowPace = 1.6
+	// freshReport is the age up to which a report makes a probe needless.
+	freshReport = 15 * time.Millisecond
+	// probePenalty keeps work from an upstream that failed to answer a probe.
+	probePenalty = 4.0
+	// probePenaltyLife is how long that lasts.
+	probePenaltyLife = 300 * time.Millisecond
+)
+
+func (p *Pool) observe(now time.Time, u *upstream, r Report) {
+	u.observe(now, r)
+	switch {
+	case r.Pace <= 0:
+	case p.meanPace == 0:
+		p.meanPace = r.Pace
+	default:
+		p.meanPace += (r.Pace - p.meanPace) * paceWeight
+	}
+}
+
+// TellsPace reports whether upstreams of the pool tell their pace.
+func (p *Pool) TellsPace() bool { return p.meanPace > 0 }
+
+// paceNow is the expected pace of an upstream: the last one told, which fades to the mean.
+func (p *Pool) paceNow(now time.Time, u *upstream) float64 {
+	if p.meanPace == 0 {
+		return 1
+	}
+	expected := p.meanPace
+	if u.pace > 0 {
+		expected += (u.pace - p.meanPace) * math.Exp(-now.Sub(u.pacedAt).Seconds()/paceLife.Seconds())
+	}
+	if !u.probeFailedAt.IsZero() && now.Sub(u.probeFailedAt) < probePenaltyLife {
+		expected *= probePenalty
+	}
+	return expected
+}
+
+// Unsure reports whether a probe should precede the attempt, since nothing
+// recent is known of the upstream's pace.
+func (p *Pool) Unsure(now time.Time, a *Attempt) bool {
+	u := a.upstream
+	return p.TellsPace() && (now.Sub(u.pacedAt) > freshReport || u.pace >= slowPace || u.full)
+}
+
+// Suits reports whether the probe that preceded an attempt found the upstream able to serve at once.
+func (p *Pool) Suits(a *Attempt) bool {
+	u := a.upstream
+	return u.pace < slowPace && !u.full
+}
+
+// Release gives back the slot of an attempt that was not sent.
+func (p *Pool) Release(a *Attempt) {
+	a.upstream.inFlight--
+	a.answered = true
+	a.upstream.unlink(a)
+}
+
+// ProbeFailed notes that an upstream did not answer a probe in time.
+func (p *Pool) ProbeFailed(now time.Time, name string) {
+	if u, ok := p.byName[name]; ok {
+		u.probeFailedAt = now
+	}
+}
--- a/internal/balancer/probe.go
+++ b/internal/balancer/probe.go
@@ -77,6 +77,6 @@
 		p.rejoin(now, u)
 	}
 	if r != nil {
-		u.observe(now, *r)
+		p.observe(now, u, *r)
 	}
 }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -53,6 +53,13 @@
 	// others estimates the requests of other entries at the upstream.
 	others     float64
 	reportedAt time.Time
+	// pace is how long work took at pacedAt as a multiple of the usual; 0 if it was never told.
+	pace    float64
+	pacedAt time.Time
+	// full is set if the last report showed no free slot.
+	full bool
+	// probeFailedAt is when the upstream last failed to answer a probe.
+	probeFailedAt time.Time
 	// ceiling bounds the requests in flight of this entry; shedding lowers it.
 	ceiling     float64
 	pausedUntil time.Time
@@ -75,6 +82,11 @@
 		u.others += (others - u.others) * othersWeight
 	}
 	u.reportedAt = now
+	u.full = r.InFlight+r.Queued >= u.Slots
+	if r.Pace > 0 {
+		u.pace = r.Pace
+		u.pacedAt = now
+	}
 }
 
 // othersNow is the estimate of others' requests; it fades with the age of the last report.
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -106,7 +106,7 @@
 	return reducer.Options{
 		Name: s.Name, Incarnation: newIncarnation(time.Now()), PeerAddress: s.Peers, Peers: s.Seeds,
 		CallerAddress: s.Callers, DataCentre: s.DataCentre, Seed: rand.Uint64(),
-		Managed: &reducer.Managed{AnswerPeriod: period, RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack},
+		Managed: &reducer.Managed{AnswerPeriod: period, RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack, ProbeRate: s.ProbeRate},
 	}
 }
 
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -50,7 +50,9 @@
 	patches  map[reducer.RequestID]chan reducer.AnswerPatch
 	pools    map[poolKey]*pool
 	conns    map[poolKey]*dialer.Pool
-	servers  []server
+	// reads ends the reads of the store in progress.
+	reads   map[reducer.Topic]context.CancelFunc
+	servers []server
 	// drained is closed once all servers have ended their requests after StopListening; nil before.
 	drained chan struct{}
 
@@ -92,6 +94,7 @@
 		patches:  make(map[reducer.RequestID]chan reducer.AnswerPatch),
 		pools:    make(map[poolKey]*pool),
 		conns:    make(map[poolKey]*dialer.Pool),
+		reads:    make(map[reducer.Topic]context.CancelFunc),
 		done:     make(chan struct{}),
 	}
 	d.decide = d.node.Step
@@ -235,7 +238,7 @@
 	case reducer.ListHosts:
 		d.spawn(func() { d.listHosts(e) })
 	case reducer.ReadStore:
-		d.spawn(func() { d.readStore(e) })
+		d.startRead(e)
 	case reducer.Audit:
 		d.audit(e)
 	case reducer.Stop:
--- a/internal/driver/follow.go
+++ b/internal/driver/follow.go
@@ -33,9 +33,20 @@
 // WithStore makes the driver follow the configuration in a store.
 func WithStore(s Store) Option { return func(d *Driver) { d.store = s } }
 
-func (d *Driver) readStore(e reducer.ReadStore) {
+// startRead begins a read in place of an earlier one of its topic; d.mu is held.
+func (d *Driver) startRead(e reducer.ReadStore) {
+	if cancel := d.reads[e.Topic]; cancel != nil {
+		cancel()
+	}
 	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
-	defer cancel()
+	d.reads[e.Topic] = cancel
+	d.spawn(func() {
+		defer cancel()
+		d.readStore(ctx, e)
+	})
+}
+
+func (d *Driver) readStore(ctx context.Context, e reducer.ReadStore) {
 	var page Page
 	var err error
 	if e.Whole {
@@ -51,9 +62,9 @@
 	}
 	d.post(func(s reducer.Stamp) reducer.Event {
 		if err != nil {
-			return reducer.StoreFailed{Stamp: s, Topic: e.Topic, Expired: errors.Is(err, ErrExpired), Problem: err.Error()}
+			return reducer.StoreFailed{Stamp: s, ID: e.ID, Topic: e.Topic, Expired: errors.Is(err, ErrExpired), Problem: err.Error()}
 		}
-		return reducer.StoreRead{Stamp: s, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next}
+		return reducer.StoreRead{Stamp: s, ID: e.ID, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next}
 	})
 	if err == nil {
 		d.limitCallers()
--- a/internal/driver/platform.go
+++ b/internal/driver/platform.go
@@ -77,7 +77,12 @@
 	ctx, cancel := context.WithDeadline(d.ctx, e.Deadline)
 	defer cancel()
 	begun := time.Now()
-	ev := d.readLoad(ctx, e)
+	var ev reducer.ProbeAnswered
+	if d.wire != nil {
+		ev = d.readHealth(ctx, e)
+	} else {
+		ev = d.readLoad(ctx, e)
+	}
 	d.metrics.probe(e.Service, ev.OK, begun)
 	d.post(func(s reducer.Stamp) reducer.Event {
 		ev.Stamp = s
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"strings"
 	"time"
@@ -163,17 +164,42 @@
 }
 
 // connections returns the connections to an upstream; d.mu is held.
-func (d *Driver) connections(e reducer.Dispatch) *dialer.Pool {
-	key := poolKey{e.Service, e.Address.String()}
+func (d *Driver) connections(service string, address netip.AddrPort, limit int) *dialer.Pool {
+	key := poolKey{service, address.String()}
 	p, ok := d.conns[key]
 	if !ok {
-		p = dialer.New(e.Address, e.Connections)
+		p = dialer.New(address, limit)
 		d.conns[key] = p
 	}
-	p.SetLimit(e.Connections)
+	p.SetLimit(limit)
 	return p
 }
 
+// readHealth asks an upstream for its health and load.
+func (d *Driver) readHealth(ctx context.Context, e reducer.Probe) reducer.ProbeAnswered {
+	ev := reducer.ProbeAnswered{Request: e.Request, Service: e.Service, Upstream: e.Upstream}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.Address.String()+e.Path, http.NoBody)
+	if err != nil {
+		return ev
+	}
+	req.Header.Set("User-Agent", "")
+	d.mu.Lock()
+	p := d.connections(e.Service, e.Address, max(e.Connections, 1))
+	d.mu.Unlock()
+	resp, _, err := p.RoundTrip(req, dialer.Need{})
+	if err != nil {
+		return ev
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReport)); err != nil {
+		return ev
+	}
+	head := d.wire.Answer(resp.StatusCode, resp.Header)
+	ev.OK = resp.StatusCode == http.StatusOK
+	ev.Report = head.Report
+	return ev
+}
+
 // tryRoute runs an attempt to its answer or failure.
 func (d *Driver) tryRoute(e reducer.Dispatch, a *attempt) {
 	defer func() {
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -58,7 +58,7 @@
 	a := &attempt{id: e.Attempt, call: c}
 	run := func() { d.try(e, a) }
 	if d.wire != nil {
-		a.conns = d.connections(e)
+		a.conns = d.connections(e.Service, e.Address, e.Connections)
 		run = func() { d.tryRoute(e, a) }
 	} else {
 		a.pool = d.pool(e, e.Address.String())
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -52,9 +52,15 @@
 
 // Probe reads the load and health of an upstream.
 type Probe struct {
+	// Request is the one whose attempt the probe precedes, 0 if it is none.
+	Request  RequestID
 	Service  string
 	Upstream string
 	Address  netip.AddrPort
+	// Connections bounds the connections of this entry to the upstream; 0 means one.
+	Connections int
+	// Path is where the upstream answers; empty means the entry's own.
+	Path     string
 	Deadline time.Time
 }
 
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -93,6 +93,8 @@
 // ProbeAnswered reports the end of a probe.
 type ProbeAnswered struct {
 	Stamp
+	// Request is that of the probe.
+	Request  RequestID
 	Service  string
 	Upstream string
 	OK       bool
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -19,6 +19,8 @@
 	RepeatRatio float64
 	// RepeatSlack is the number of repeats beyond that share, all entries together.
 	RepeatSlack float64
+	// ProbeRate is the number of probes per upstream and second, all entries together.
+	ProbeRate float64
 }
 
 const (
@@ -26,7 +28,7 @@
 	// take effect within 2 s, of which an answer of the store may take some.
 	pollInterval = 800 * time.Millisecond
 	// documentWait is how long a read waits for a new document.
-	documentWait = 15 * time.Second
+	documentWait = 6 * time.Second
 	// storeMargin is the time beyond its wait after which a read has failed.
 	storeMargin = 1500 * time.Millisecond
 	// retryInterval is the pause after a failed read; a random part of it is added.
@@ -86,6 +88,8 @@
 
 // ReadStore reads a topic.
 type ReadStore struct {
+	// ID is that of the answer; a read ends an earlier one of its topic.
+	ID    uint64
 	Topic Topic
 	// Whole asks for the newest record of each key instead of the records from an offset on.
 	Whole bool
@@ -98,6 +102,7 @@
 // StoreRead delivers records of a topic in their order.
 type StoreRead struct {
 	Stamp
+	ID    uint64
 	Topic Topic
 	// Whole is set if Facts are all that the topic holds.
 	Whole bool
@@ -109,6 +114,7 @@
 // StoreFailed reports a read of the store without a usable answer.
 type StoreFailed struct {
 	Stamp
+	ID    uint64
 	Topic Topic
 	// Expired is set if the store no longer has the records.
 	Expired bool
@@ -133,6 +139,8 @@
 
 // reading is the progress in one topic.
 type reading struct {
+	// id is that of the read in progress.
+	id   uint64
 	next uint64
 	// loaded is set once the topic was read whole.
 	loaded bool
@@ -157,11 +165,16 @@
 }
 
 func (n *Node) readWhole(t Topic) {
-	n.emit(ReadStore{Topic: t, Whole: true, Deadline: n.now.Add(storeMargin)})
+	n.emit(ReadStore{ID: n.newRead(t), Topic: t, Whole: true, Deadline: n.now.Add(storeMargin)})
+}
+
+func (n *Node) newRead(t Topic) uint64 {
+	n.follow.read[t].id++
+	return n.follow.read[t].id
 }
 
 func (n *Node) readOn(t Topic) {
-	r := ReadStore{Topic: t, From: n.follow.read[t].next, Deadline: n.now.Add(storeMargin)}
+	r := ReadStore{ID: n.newRead(t), Topic: t, From: n.follow.read[t].next, Deadline: n.now.Add(storeMargin)}
 	if t == TopicDocument {
 		r.WaitUntil = n.now.Add(documentWait)
 		r.Deadline = r.WaitUntil.Add(storeMargin)
@@ -171,6 +184,9 @@
 
 func (n *Node) storeRead(ev StoreRead) {
 	r := &n.follow.read[ev.Topic]
+	if ev.ID != r.id {
+		return
+	}
 	if !r.failedAt.IsZero() {
 		n.storeBack(ev.Topic, r)
 	}
@@ -189,34 +205,49 @@
 		n.readOn(ev.Topic)
 		return
 	}
-	n.after(n.now.Add(pollInterval), func() { n.readOn(ev.Topic) })
+	n.after(n.now.Add(pollInterval), func() {
+		if ev.ID == r.id {
+			n.readOn(ev.Topic)
+		}
+	})
 }
 
 func (n *Node) storeBack(t Topic, r *reading) {
-	if t == TopicUpstreams && n.now.Sub(r.failedAt) >= outagePeriod {
-		n.follow.registrar.Resumed(n.now)
+	if t == TopicUpstreams {
+		if n.now.Sub(r.failedAt) >= outagePeriod {
+			n.follow.registrar.Resumed(n.now)
+		}
+		// A waiting read that began during the outage may never be answered.
+		if n.follow.read[TopicDocument].loaded {
+			n.readOn(TopicDocument)
+		}
 	}
 	r.failedAt = time.Time{}
 	n.audit(auditor.Entry{Actor: n.Name, Action: "StoreBack", Subject: t.String(), Cause: "read succeeded", Version: n.Config().Version})
 }
 
 func (n *Node) storeFailed(ev StoreFailed) {
+	r := &n.follow.read[ev.Topic]
+	if ev.ID != r.id {
+		return
+	}
 	if ev.Expired {
 		n.readWhole(ev.Topic)
 		return
 	}
-	r := &n.follow.read[ev.Topic]
 	if r.failedAt.IsZero() {
 		r.failedAt = n.now
 		n.audit(auditor.Entry{Actor: n.Name, Action: "StoreLost", Subject: ev.Topic.String(), Cause: ev.Problem, Version: n.Config().Version})
 	}
 	pause := retryInterval + time.Duration(n.random.Int64N(int64(retryInterval)))
 	n.after(n.now.Add(pause), func() {
-		if r.loaded {
+		switch {
+		case ev.ID != r.id:
+		case r.loaded:
 			n.readOn(ev.Topic)
-			return
+		default:
+			n.readWhole(ev.Topic)
 		}
-		n.readWhole(ev.Topic)
 	})
 }
 
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -64,7 +64,7 @@
 func (n *Node) hedge(r *request) {
 	r.watch = nil
 	s := r.service
-	if r.relayed || r.open() != 1 || !n.canRepeat(r) || s.queue.Waiting() > 0 || s.hedges.saved < 1 {
+	if r.relayed || r.screened != nil || r.open() != 1 || !n.canRepeat(r) || s.queue.Waiting() > 0 || s.hedges.saved < 1 {
 		return
 	}
 	need := r.need()
@@ -73,8 +73,7 @@
 	if !ok {
 		return
 	}
-	s.hedges.spend()
-	n.dispatch(r, choice)
+	n.screen(r, choice)
 }
 
 // open is the number of attempts without an answer.
--- a/internal/reducer/probe.go
+++ b/internal/reducer/probe.go
@@ -78,6 +78,9 @@
 		return
 	}
 	s.pool.Probed(n.now, ev.Upstream, ev.OK, ev.Draining, ev.Report)
+	if ev.Request != 0 {
+		n.screenAnswered(s, ev)
+	}
 	n.auditUpstreams(s)
 	n.pump(s)
 }
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -46,6 +46,7 @@
 	watch *timer
 	// fresh is set if further attempts need new connections.
 	fresh bool
+	screening
 }
 
 // attempt is one dispatch of a request.
@@ -142,7 +143,7 @@
 		if ok {
 			s.queue.Take(n.now, it.ID)
 			r.queued = false
-			n.dispatch(r, choice)
+			n.screen(r, choice)
 			continue
 		}
 		if len(r.attempts) == 0 {
@@ -184,6 +185,7 @@
 	for _, a := range r.attempts {
 		need.Tried = append(need.Tried, a.upstream)
 	}
+	need.Tried = append(need.Tried, r.unsuited...)
 	return need
 }
 
@@ -314,6 +316,12 @@
 	if r.open() > 0 {
 		return
 	}
+	if r.screened != nil {
+		// The second attempt that is under way takes the place of the repeat.
+		r.hedged = false
+		r.service.repeats.spend()
+		return
+	}
 	if r.once != nil && !r.mayHaveRun && !n.onceNotRun(r) {
 		n.end(r)
 		return
@@ -361,6 +369,7 @@
 }
 
 func (n *Node) cancelAttempts(r *request, f balancer.Failure) {
+	n.endScreening(r)
 	for _, a := range r.attempts {
 		if a.open {
 			r.mayHaveRun = true
@@ -385,6 +394,7 @@
 }
 
 func (n *Node) end(r *request) {
+	n.endScreening(r)
 	if r.queued {
 		r.service.queue.Remove(uint64(r.id))
 	}
--- /dev/null
+++ b/internal/reducer/screen.go
@@ -0,0 +1,123 @@
+package reducer
+
+import (
+	"time"
+
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
+)
+
+const (
+	// screenPatience bounds the wait for a probe that precedes an attempt.
+	screenPatience = 25 * time.Millisecond
+	// maxScreens bounds the upstreams that are probed for one attempt.
+	maxScreens = 3
+	// screenSaved bounds the probes that a quiet time saves up, in seconds of the rate.
+	screenSaved = 2
+)
+
+// screening is a request's part in the probes that precede attempts.
+type screening struct {
+	// screened is the choice whose probe is awaited, nil if there is none.
+	screened *balancer.Choice
+	// hedged is set if that choice is for a second attempt.
+	hedged bool
+	// screens counts the probes for the current attempt.
+	screens int
+	// unsuited names the upstreams that the probes found slow or full.
+	unsuited []string
+}
+
+// screen sends a request to an upstream, after a probe if nothing recent is
+// known of its pace. A slow phase lasts longer than a probe takes, and a request
+// that is sent into one can't be called back if it must not run twice.
+func (n *Node) screen(r *request, c balancer.Choice) {
+	s := r.service
+	hedged := r.open() > 0
+	if n.Managed == nil || r.screens >= maxScreens || !s.pool.Unsure(n.now, c.Attempt) || !s.spendProbe() {
+		n.launch(r, c, hedged)
+		return
+	}
+	r.screened = &c
+	r.hedged = hedged
+	r.screens++
+	n.emit(Probe{
+		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Connections: c.Connections,
+		Path: s.config.HealthPath, Deadline: n.now.Add(screenPatience),
+	})
+}
+
+// launch dispatches an attempt that needs no further probe.
+func (n *Node) launch(r *request, c balancer.Choice, hedged bool) {
+	r.screens = 0
+	r.unsuited = nil
+	if hedged && !r.service.hedges.spend() {
+		r.service.pool.Release(c.Attempt)
+		return
+	}
+	n.dispatch(r, c)
+}
+
+// screenAnswered sends the attempt that a probe preceded, or looks for a better upstream.
+func (n *Node) screenAnswered(s *service, ev ProbeAnswered) {
+	if !ev.OK && ev.Report == nil {
+		s.pool.ProbeFailed(n.now, ev.Upstream)
+	}
+	r, ok := n.requests[ev.Request]
+	if !ok || r.screened == nil || r.screened.Name != ev.Upstream {
+		return
+	}
+	c := *r.screened
+	r.screened = nil
+	if r.relayed {
+		s.pool.Release(c.Attempt)
+		return
+	}
+	if ev.Report != nil && s.pool.Suits(c.Attempt) {
+		n.launch(r, c, r.hedged)
+		return
+	}
+	s.pool.Release(c.Attempt)
+	r.unsuited = append(r.unsuited, c.Name)
+	n.screenNext(r)
+}
+
+// screenNext picks another upstream; if none is left, one that was found slow has to do.
+func (n *Node) screenNext(r *request) {
+	s := r.service
+	if next, ok := s.pool.Pick(n.now, r.need()); ok {
+		n.screen(r, next)
+		return
+	}
+	r.unsuited = nil
+	if next, ok := s.pool.Pick(n.now, r.need()); ok {
+		n.launch(r, next, r.hedged)
+		return
+	}
+	if !r.hedged {
+		n.enqueue(r)
+	}
+}
+
+// endScreening gives back the slot of an attempt whose probe is awaited.
+func (n *Node) endScreening(r *request) {
+	if r.screened == nil {
+		return
+	}
+	r.service.pool.Release(r.screened.Attempt)
+	r.screened = nil
+	r.unsuited = nil
+	r.screens = 0
+}
+
+// spendProbe takes a probe from what the operator allows this entry.
+func (s *service) spendProbe() bool {
+	n := s.node
+	rate := n.Managed.ProbeRate * float64(s.pool.Len()) / float64(max(n.entryCount(), leastEntries)) * managedShare
+	s.probesSaved = min(s.probesSaved+n.now.Sub(s.probesAt).Seconds()*rate, rate*screenSaved)
+	s.probesAt = n.now
+	if s.probesSaved < 1 {
+		return false
+	}
+	s.probesSaved--
+	return true
+}
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -4,6 +4,7 @@
 	"hash/fnv"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/admitter"
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
@@ -22,6 +23,9 @@
 	probe *timer
 	// hedges and repeats bound the extra attempts; a managed entry has one bound for both.
 	hedges, repeats *allowance
+	// probesSaved are the probes that the entry may send at probesAt.
+	probesSaved float64
+	probesAt    time.Time
 }
 
 func newService(n *Node, name string) *service {
