Serve first what can be in time, and leave useless slots free

Cause: in an overload, lookups waited behind requests that were late in any case, and went to slow or full upstreams once three probes had failed. An upstream that is nearly full works 1.7 times as long, so that its last slots cost throughput.

Change: the queue puts requests that can't be in time behind the others and refuses them while those wait; the time that callers still allow shows repeats. Requests in time wait for an upstream that is not slow, late ones take any free slot. The pool learns whether crowding costs more than its slots bring. Lapsed registrations are held from the last failed read on.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -20,6 +20,9 @@
 	ID       uint64
 	Rank     string
 	Deadline time.Time
+	// Due is when an answer no longer is in time; zero if that is not known. A
+	// request that can't be answered by then gives way to those that can.
+	Due time.Time
 	// Size is the length of the held body in bytes.
 	Size int64
 	// Expected is the time that an upstream is expected to take.
@@ -68,6 +71,9 @@
 	if code := r.admit(now, it); code != classifier.OK {
 		return code
 	}
+	if it.late(now) && q.timely() {
+		return classifier.DeadlineUnreachable
+	}
 	q.push(now, r, it)
 	return classifier.OK
 }
@@ -86,7 +92,7 @@
 	if len(r.items) == 0 {
 		r.waitsSince = now
 	}
-	w := &waiter{Item: it, rank: r}
+	w := &waiter{Item: it, rank: r, late: it.late(now)}
 	heap.Push(&r.items, w)
 	r.bytes += it.Size
 	q.waiting[it.ID] = w
@@ -108,12 +114,58 @@
 }
 
 func (q *Queue) before(a, b *rankQueue) bool {
+	if late := a.items[0].late; late != b.items[0].late {
+		return !late
+	}
 	if below := a.belowFloor(q.running); below != b.belowFloor(q.running) {
 		return below
 	}
 	return a.Urgency < b.Urgency
 }
 
+// Age puts the requests that can no longer be answered in time behind the
+// others; it returns those that have to give way because others still can.
+func (q *Queue) Age(now time.Time) []Item {
+	var late []*waiter
+	for _, r := range q.ranks {
+		for len(r.items) > 0 && !r.items[0].late && r.items[0].Item.late(now) {
+			r.items[0].late = true
+			heap.Fix(&r.items, 0)
+		}
+	}
+	if !q.timely() {
+		return nil
+	}
+	for _, r := range q.ranks {
+		for _, w := range r.items {
+			if w.late {
+				late = append(late, w)
+			}
+		}
+	}
+	out := make([]Item, 0, len(late))
+	for _, w := range late {
+		q.Remove(w.ID)
+		out = append(out, w.Item)
+	}
+	return out
+}
+
+// timely reports whether a request waits that can still be answered in time.
+func (q *Queue) timely() bool {
+	for _, r := range q.ranks {
+		if len(r.items) > 0 && !r.items[0].late && !r.items[0].Due.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// late reports whether a request can't be answered in time any more.
+func (it Item) late(now time.Time) bool {
+	return !it.Due.IsZero() && now.Add(it.Expected).After(it.Due)
+}
+
 // Take removes a waiting request that is dispatched now.
 func (q *Queue) Take(now time.Time, id uint64) {
 	w, ok := q.waiting[id]
--- a/internal/admitter/rank.go
+++ b/internal/admitter/rank.go
@@ -35,6 +35,8 @@
 	Item
 	rank  *rankQueue
 	index int
+	// late is set once the request can't be answered in time any more.
+	late bool
 }
 
 type waiters []*waiter
@@ -43,6 +45,9 @@
 
 // Less breaks ties by the order of arrival.
 func (h waiters) Less(i, j int) bool {
+	if h[i].late != h[j].late {
+		return !h[i].late
+	}
 	if h[i].Deadline.Equal(h[j].Deadline) {
 		return h[i].ID < h[j].ID
 	}
@@ -81,6 +86,9 @@
 	if wait > 0 && (wait+it.Expected > left || wait > r.Target.Duration/waitShare) {
 		return classifier.DeadlineUnreachable
 	}
+	if wait > 0 && !it.late(now) && it.late(now.Add(wait)) {
+		return classifier.DeadlineUnreachable
+	}
 	return classifier.OK
 }
 
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -69,6 +69,9 @@
 	changes []Change
 	// meanPace is the mean pace over all reports; 0 while none told a pace.
 	meanPace float64
+	// untold counts the reports that told none.
+	untold int
+	crowd  crowding
 }
 
 // Need describes the request that an upstream is picked for.
@@ -82,6 +85,8 @@
 	Spare bool
 	// Fresh asks for a new connection.
 	Fresh bool
+	// AnyPace is set if the request may go to an upstream that is slow at the moment.
+	AnyPace bool
 	// Tried names the upstreams that must not be picked again.
 	Tried []string
 }
@@ -174,7 +179,7 @@
 	var best *upstream
 	cost, found := 0.0, 0
 	consider := func(u *upstream) {
-		if u == best || u.inFlight >= p.connections(u) || !u.usable(now, need) {
+		if u == best || u.inFlight >= p.connections(u) || !p.usable(now, u, need) {
 			return
 		}
 		found++
@@ -222,11 +227,11 @@
 	return a
 }
 
-func (u *upstream) usable(now time.Time, need Need) bool {
-	if u.leaving() || !u.open(now, need) || u.inFlight >= u.limit(now, need.Urgent) {
+func (p *Pool) usable(now time.Time, u *upstream, need Need) bool {
+	if u.leaving() || !u.open(now, need) || u.inFlight >= p.limit(now, u, need.Urgent) {
 		return false
 	}
-	if u.onTrial() {
+	if u.onTrial() || p.shunned(now, u, need.AnyPace) {
 		return false
 	}
 	if need.Spare && float64(u.inFlight)+u.othersNow(now)+1 > float64(u.Slots) {
@@ -291,5 +296,6 @@
 		u.learn(now, a)
 		u.smooth(now.Sub(a.started))
 		a.rank.observe(now.Sub(a.started))
+		p.learnCondition(a, now.Sub(a.started))
 	}
 }
--- /dev/null
+++ b/internal/balancer/crowd.go
@@ -0,0 +1,77 @@
+package balancer
+
+import "time"
+
+const (
+	// crowdedUse is the use of the slots from which an upstream counts as crowded.
+	crowdedUse = 0.8
+	// crowdedCost is the factor on the latency from which crowding costs more
+	// throughput than the slots beyond crowdedUse bring.
+	crowdedCost = 1 / crowdedUse
+	// leastSamples is the number of answers before crowding is judged.
+	leastSamples = 20
+	// crowdWeight is the weight of a new answer in the means.
+	crowdWeight = 0.05
+	// maxCrowding bounds one sample.
+	maxCrowding = 5
+)
+
+// condition is what was known of an upstream when an attempt was sent.
+type condition struct {
+	// known is set if a report was fresh.
+	known bool
+	pace  float64
+	use   float64
+}
+
+func (u *upstream) conditionNow(now time.Time) condition {
+	if u.pace <= 0 || now.Sub(u.pacedAt) > freshReport {
+		return condition{}
+	}
+	return condition{known: true, pace: u.pace, use: float64(u.running+1) / float64(max(u.Slots, 1))}
+}
+
+// Launch notes the conditions under which an attempt is sent.
+func (p *Pool) Launch(now time.Time, a *Attempt) {
+	a.started = now
+	a.condition = a.upstream.conditionNow(now)
+}
+
+// crowding is what a pool learned of upstreams that are nearly full.
+type crowding struct {
+	// factor is the mean factor on the latency of upstreams that were crowded.
+	factor  float64
+	samples int
+}
+
+// learnCondition takes the latency of an attempt whose conditions were known.
+func (p *Pool) learnCondition(a *Attempt, latency time.Duration) {
+	if !a.known || a.pace >= slowPace {
+		return
+	}
+	plain := time.Duration(float64(latency) / a.pace)
+	if a.use <= crowdedUse {
+		if a.rank.usual == 0 {
+			a.rank.usual = plain
+		}
+		a.rank.usual += time.Duration(float64(plain-a.rank.usual) * crowdWeight)
+		return
+	}
+	if a.rank.usual == 0 {
+		return
+	}
+	sample := min(float64(plain)/float64(a.rank.usual), maxCrowding)
+	p.crowd.samples++
+	if p.crowd.samples == 1 {
+		p.crowd.factor = sample
+	}
+	p.crowd.factor += (sample - p.crowd.factor) * crowdWeight
+}
+
+// usable is the number of slots worth using: all, unless crowding costs more than they bring.
+func (p *Pool) usableSlots(u *upstream) int {
+	if p.crowd.samples >= leastSamples && p.crowd.factor > crowdedCost {
+		return max(int(crowdedUse*float64(u.Slots)), 1)
+	}
+	return u.Slots
+}
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -14,6 +14,14 @@
 	slowPace = 1.6
 	// freshReport is the age up to which a report makes a probe needless.
 	freshReport = 15 * time.Millisecond
+	// slowKnown and fullKnown are how long an upstream that was found slow or full
+	// is passed over without another look. A slow phase lasts longer than a
+	// request of others takes to free a slot.
+	slowKnown = 30 * time.Millisecond
+	fullKnown = 10 * time.Millisecond
+	// maxUntold is the number of reports without a pace after which a pool counts
+	// as one whose upstreams tell none.
+	maxUntold = 3
 	// probePenalty keeps work from an upstream that failed to answer a probe.
 	probePenalty = 4.0
 	// probePenaltyLife is how long that lasts.
@@ -24,6 +32,7 @@
 	u.observe(now, r)
 	switch {
 	case r.Pace <= 0:
+		p.untold++
 	case p.meanPace == 0:
 		p.meanPace = r.Pace
 	default:
@@ -53,13 +62,26 @@
 // recent is known of the upstream's pace.
 func (p *Pool) Unsure(now time.Time, a *Attempt) bool {
 	u := a.upstream
-	return p.TellsPace() && (now.Sub(u.pacedAt) > freshReport || u.pace >= slowPace || u.full)
+	return (p.TellsPace() || p.untold < maxUntold) && now.Sub(u.reportedAt) > freshReport
 }
 
-// Suits reports whether the probe that preceded an attempt found the upstream able to serve at once.
-func (p *Pool) Suits(a *Attempt) bool {
+// Suits reports whether the probe that preceded an attempt found the upstream
+// able to serve at once; a request that is late in any case may go to a slow one.
+func (p *Pool) Suits(a *Attempt, anyPace bool) bool {
 	u := a.upstream
-	return u.pace < slowPace && !u.full
+	return u.running < p.usableSlots(u) && (anyPace || u.pace < slowPace)
+}
+
+// Untold notes a probe whose answer told no load.
+func (p *Pool) Untold() { p.untold++ }
+
+// shunned reports whether an upstream was found slow or full a moment ago.
+func (p *Pool) shunned(now time.Time, u *upstream, anyPace bool) bool {
+	if u.pace <= 0 {
+		return false
+	}
+	age := now.Sub(u.pacedAt)
+	return u.running >= p.usableSlots(u) && age < fullKnown || !anyPace && u.pace >= slowPace && age < slowKnown
 }
 
 // Release gives back the slot of an attempt that was not sent.
--- a/internal/balancer/rank.go
+++ b/internal/balancer/rank.go
@@ -21,6 +21,8 @@
 type rankLatency struct {
 	target patcher.Period
 	mean   time.Duration
+	// usual is the mean latency at the usual pace and without crowding, 0 if not known.
+	usual time.Duration
 	// tail is a quantile, followed by small steps (Ma, Muthukrishnan and Sandler 2013).
 	tail float64
 }
@@ -60,6 +62,14 @@
 	return 0
 }
 
+// Usual returns the mean latency of a rank at the usual pace, the plain mean if that is not known.
+func (p *Pool) Usual(rank string) time.Duration {
+	if r, ok := p.ranks[rank]; ok && r.usual > 0 {
+		return r.usual
+	}
+	return p.Expected(rank)
+}
+
 // Tail returns the latency that few answers of a rank exceed, 0 if nothing is known.
 func (p *Pool) Tail(rank string) time.Duration {
 	if r, ok := p.ranks[rank]; ok {
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -56,8 +56,8 @@
 	// pace is how long work took at pacedAt as a multiple of the usual; 0 if it was never told.
 	pace    float64
 	pacedAt time.Time
-	// full is set if the last report showed no free slot.
-	full bool
+	// running is the number of requests that the last report showed.
+	running int
 	// probeFailedAt is when the upstream last failed to answer a probe.
 	probeFailedAt time.Time
 	// ceiling bounds the requests in flight of this entry; shedding lowers it.
@@ -82,7 +82,7 @@
 		u.others += (others - u.others) * othersWeight
 	}
 	u.reportedAt = now
-	u.full = r.InFlight+r.Queued >= u.Slots
+	u.running = r.InFlight + r.Queued
 	if r.Pace > 0 {
 		u.pace = r.Pace
 		u.pacedAt = now
@@ -97,6 +97,20 @@
 	return u.others * math.Exp(-now.Sub(u.reportedAt).Seconds()/reportLife.Seconds())
 }
 
+// limit bounds the requests in flight of this entry. Where upstreams tell their
+// pace, each attempt is preceded by a look at their load, so that the limit only
+// has to keep an entry from what the upstream can't take in any case.
+func (p *Pool) limit(now time.Time, u *upstream, urgent bool) int {
+	if !p.TellsPace() {
+		return u.limit(now, urgent)
+	}
+	if now.Before(u.pausedUntil) {
+		return 0
+	}
+	room := min(float64(p.usableSlots(u))-u.othersNow(now)+roundingSlack, u.ceiling)
+	return max(int(room*(1-u.away(now))), 1)
+}
+
 // limit bounds the requests in flight of this entry by the slots that others leave;
 // at least one for the most urgent rank and the share of this entry for the others.
 func (u *upstream) limit(now time.Time, urgent bool) int {
--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -47,6 +47,8 @@
 	uploaded bool
 	// id is the caller's own name of the request, empty if it has none.
 	id string
+	// route is the name of the route that the request came by.
+	route string
 }
 
 // Handler returns the HTTP interface for callers.
@@ -186,7 +188,7 @@
 func (d *Driver) arrive(c *call, rank patcher.Rank, deadline time.Time) reducer.RequestID {
 	h := c.request.Header
 	ev := reducer.RequestArrived{
-		Service: c.service, Rank: rank.Name, Deadline: deadline,
+		Service: c.service, Rank: rank.Name, Route: c.route, Deadline: deadline,
 		Key: h.Get(headerKey), BodySize: c.request.ContentLength,
 		FirstAttempt: c.first(),
 		Replayable:   c.replayable,
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -90,6 +90,7 @@
 		return
 	}
 	c.service = service
+	c.route = route.Name
 	c.onceOnly = route.Rank.Kind != patcher.Idempotent
 	d.metrics.inFlight.Inc()
 	defer d.metrics.inFlight.Dec()
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -33,9 +33,11 @@
 // RequestArrived reports a caller's request whose headers, and for once-only ranks also the body, were read.
 type RequestArrived struct {
 	Stamp
-	ID       RequestID
-	Service  string
-	Rank     string
+	ID      RequestID
+	Service string
+	Rank    string
+	// Route is the one that the request came by, empty if there are no routes.
+	Route    string
 	Deadline time.Time
 	Key      string
 	// BodyDigest is a hash of the body of a once-only request.
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -31,6 +31,13 @@
 	documentWait = 6 * time.Second
 	// storeMargin is the time beyond its wait after which a read has failed.
 	storeMargin = 1500 * time.Millisecond
+	// pollPatience is the time after which a read of registrations has failed.
+	pollPatience = time.Second
+	// leastLapse is how long registrations may be missing at least once the store
+	// answers again. It may have been back since the last read that failed began,
+	// so that the whole period counts from there: a leaving upstream must not be
+	// held for longer.
+	leastLapse = 800 * time.Millisecond
 	// retryInterval is the pause after a failed read; a random part of it is added.
 	retryInterval = 300 * time.Millisecond
 	// outagePeriod is the length of an outage from which registrations may have expired by it.
@@ -144,9 +151,12 @@
 	next uint64
 	// loaded is set once the topic was read whole.
 	loaded bool
+	// begunAt is when the read in progress, or the last one, began.
+	begunAt time.Time
 	// failedAt is when the first of the last reads failed; zero while the store answers.
 	failedAt time.Time
-	readAt   time.Time
+	// triedAt is when the last read that failed began.
+	triedAt time.Time
 }
 
 func newFollowing() following {
@@ -170,11 +180,12 @@
 
 func (n *Node) newRead(t Topic) uint64 {
 	n.follow.read[t].id++
+	n.follow.read[t].begunAt = n.now
 	return n.follow.read[t].id
 }
 
 func (n *Node) readOn(t Topic) {
-	r := ReadStore{ID: n.newRead(t), Topic: t, From: n.follow.read[t].next, Deadline: n.now.Add(storeMargin)}
+	r := ReadStore{ID: n.newRead(t), Topic: t, From: n.follow.read[t].next, Deadline: n.now.Add(pollPatience)}
 	if t == TopicDocument {
 		r.WaitUntil = n.now.Add(documentWait)
 		r.Deadline = r.WaitUntil.Add(storeMargin)
@@ -191,7 +202,6 @@
 		n.storeBack(ev.Topic, r)
 	}
 	r.next = ev.Next
-	r.readAt = n.now
 	r.loaded = r.loaded || ev.Whole
 	names := make(map[string]bool)
 	for _, f := range ev.Facts {
@@ -215,7 +225,7 @@
 func (n *Node) storeBack(t Topic, r *reading) {
 	if t == TopicUpstreams {
 		if n.now.Sub(r.failedAt) >= outagePeriod {
-			n.follow.registrar.Resumed(n.now)
+			n.follow.registrar.Resumed(later(r.triedAt.Add(registrar.LapsePeriod), n.now.Add(leastLapse)))
 		}
 		// A waiting read that began during the outage may never be answered.
 		if n.follow.read[TopicDocument].loaded {
@@ -235,6 +245,7 @@
 		n.readWhole(ev.Topic)
 		return
 	}
+	r.triedAt = r.begunAt
 	if r.failedAt.IsZero() {
 		r.failedAt = n.now
 		n.audit(auditor.Entry{Actor: n.Name, Action: "StoreLost", Subject: ev.Topic.String(), Cause: ev.Problem, Version: n.Config().Version})
--- a/internal/reducer/hedge.go
+++ b/internal/reducer/hedge.go
@@ -67,7 +67,7 @@
 	if r.relayed || r.screened != nil || r.open() != 1 || !n.canRepeat(r) || s.queue.Waiting() > 0 || s.hedges.saved < 1 {
 		return
 	}
-	need := r.need()
+	need := n.need(r)
 	need.Spare = true
 	choice, ok := s.pool.Pick(n.now, need)
 	if !ok {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -22,10 +22,12 @@
 
 // request is a caller's request from its arrival to its end.
 type request struct {
-	id         RequestID
-	service    *service
-	rank       patcher.Rank
-	deadline   time.Time
+	id       RequestID
+	service  *service
+	rank     patcher.Rank
+	deadline time.Time
+	// due is when an answer no longer is in time, zero if that is not known.
+	due        time.Time
 	replayable bool
 	// size is the length of the held body in bytes.
 	size   int64
@@ -90,6 +92,9 @@
 	if ev.Replayable {
 		r.size = max(ev.BodySize, 0)
 	}
+	if n.Managed != nil {
+		r.due = s.began(n.now, ev).Add(rank.Target.Duration)
+	}
 	n.requests[ev.ID] = r
 	s.earn()
 	n.enqueue(r)
@@ -116,8 +121,8 @@
 
 func (r *request) item() admitter.Item {
 	return admitter.Item{
-		ID: uint64(r.id), Rank: r.rank.Name, Deadline: r.deadline,
-		Size: r.size, Expected: r.service.pool.Expected(r.rank.Name),
+		ID: uint64(r.id), Rank: r.rank.Name, Deadline: r.deadline, Due: r.due,
+		Size: r.size, Expected: r.service.pool.Usual(r.rank.Name),
 	}
 }
 
@@ -127,6 +132,11 @@
 // pump dispatches waiting requests while upstreams have room.
 func (n *Node) pump(s *service) {
 	var aside []admitter.Item
+	for _, it := range s.queue.Age(n.now) {
+		r := n.requests[RequestID(it.ID)]
+		r.queued = false
+		n.refuseRequest(r, classifier.DeadlineUnreachable)
+	}
 	for len(aside) < maxAside {
 		it, ok := s.queue.Next()
 		if !ok {
@@ -139,7 +149,7 @@
 			n.refuseRequest(r, classifier.DeadlinePassed)
 			continue
 		}
-		choice, ok := s.pool.Pick(n.now, r.need())
+		choice, ok := s.pool.Pick(n.now, n.need(r))
 		if ok {
 			s.queue.Take(n.now, it.ID)
 			r.queued = false
@@ -155,6 +165,7 @@
 	for _, it := range aside {
 		s.queue.Return(n.now, it)
 	}
+	n.recheck(s)
 }
 
 func (n *Node) dispatch(r *request, c balancer.Choice) {
@@ -180,12 +191,13 @@
 	n.watchSilence(r, a)
 }
 
-func (r *request) need() balancer.Need {
+func (n *Node) need(r *request) balancer.Need {
 	need := balancer.Need{Rank: r.rank.Name, Urgent: r.service.urgent(r.rank), Idempotent: r.idempotent(), Fresh: r.fresh}
 	for _, a := range r.attempts {
 		need.Tried = append(need.Tried, a.upstream)
 	}
 	need.Tried = append(need.Tried, r.unsuited...)
+	need.AnyPace = n.late(r)
 	return need
 }
 
--- a/internal/reducer/screen.go
+++ b/internal/reducer/screen.go
@@ -4,13 +4,18 @@
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
 const (
 	// screenPatience bounds the wait for a probe that precedes an attempt.
 	screenPatience = 25 * time.Millisecond
-	// maxScreens bounds the upstreams that are probed for one attempt.
-	maxScreens = 3
+	// maxScreens bounds the upstreams that are probed before a request waits for
+	// another one, maxAllScreens those for one request in all.
+	maxScreens    = 3
+	maxAllScreens = 9
+	// recheckInterval is when waiting requests look for an upstream again.
+	recheckInterval = 8 * time.Millisecond
 	// screenSaved bounds the probes that a quiet time saves up, in seconds of the rate.
 	screenSaved = 2
 )
@@ -21,8 +26,9 @@
 	screened *balancer.Choice
 	// hedged is set if that choice is for a second attempt.
 	hedged bool
-	// screens counts the probes for the current attempt.
-	screens int
+	// screens counts the probes since the request last waited, allScreens all of them.
+	screens    int
+	allScreens int
 	// unsuited names the upstreams that the probes found slow or full.
 	unsuited []string
 }
@@ -33,13 +39,14 @@
 func (n *Node) screen(r *request, c balancer.Choice) {
 	s := r.service
 	hedged := r.open() > 0
-	if n.Managed == nil || r.screens >= maxScreens || !s.pool.Unsure(n.now, c.Attempt) || !s.spendProbe() {
+	if n.Managed == nil || r.allScreens >= maxAllScreens || !s.pool.Unsure(n.now, c.Attempt) || !s.spendProbe() {
 		n.launch(r, c, hedged)
 		return
 	}
 	r.screened = &c
 	r.hedged = hedged
 	r.screens++
+	r.allScreens++
 	n.emit(Probe{
 		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Connections: c.Connections,
 		Path: s.config.HealthPath, Deadline: n.now.Add(screenPatience),
@@ -54,12 +61,17 @@
 		r.service.pool.Release(c.Attempt)
 		return
 	}
+	r.service.pool.Launch(n.now, c.Attempt)
 	n.dispatch(r, c)
 }
 
 // screenAnswered sends the attempt that a probe preceded, or looks for a better upstream.
 func (n *Node) screenAnswered(s *service, ev ProbeAnswered) {
-	if !ev.OK && ev.Report == nil {
+	switch {
+	case ev.Report != nil:
+	case ev.OK:
+		s.pool.Untold()
+	default:
 		s.pool.ProbeFailed(n.now, ev.Upstream)
 	}
 	r, ok := n.requests[ev.Request]
@@ -72,7 +84,7 @@
 		s.pool.Release(c.Attempt)
 		return
 	}
-	if ev.Report != nil && s.pool.Suits(c.Attempt) {
+	if (ev.OK || ev.Report != nil) && s.pool.Suits(c.Attempt, n.late(r)) {
 		n.launch(r, c, r.hedged)
 		return
 	}
@@ -81,21 +93,46 @@
 	n.screenNext(r)
 }
 
-// screenNext picks another upstream; if none is left, one that was found slow has to do.
+// screenNext picks another upstream; if none is left, the request waits for one.
 func (n *Node) screenNext(r *request) {
-	s := r.service
-	if next, ok := s.pool.Pick(n.now, r.need()); ok {
-		n.screen(r, next)
-		return
+	if r.screens < maxScreens {
+		if next, ok := r.service.pool.Pick(n.now, n.need(r)); ok {
+			n.screen(r, next)
+			return
+		}
 	}
+	r.screens = 0
 	r.unsuited = nil
-	if next, ok := s.pool.Pick(n.now, r.need()); ok {
-		n.launch(r, next, r.hedged)
+	if !r.hedged {
+		n.requeue(r)
+	}
+}
+
+// requeue lets a request that was taken from the queue wait again.
+func (n *Node) requeue(r *request) {
+	if !r.service.queue.Return(n.now, r.item()) {
+		n.refuseRequest(r, classifier.UnknownRank)
 		return
 	}
-	if !r.hedged {
-		n.enqueue(r)
+	r.queued = true
+	n.recheck(r.service)
+}
+
+// recheck looks for upstreams again soon, since their state changes without an event here.
+func (n *Node) recheck(s *service) {
+	if n.Managed == nil || s.rechecking || s.queue.Waiting() == 0 {
+		return
 	}
+	s.rechecking = true
+	n.after(n.now.Add(recheckInterval), func() {
+		s.rechecking = false
+		n.pump(s)
+	})
+}
+
+// late reports whether a request can't be answered in time any more.
+func (n *Node) late(r *request) bool {
+	return !r.due.IsZero() && n.now.Add(r.service.pool.Usual(r.rank.Name)).After(r.due)
 }
 
 // endScreening gives back the slot of an attempt whose probe is awaited.
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -25,14 +25,18 @@
 	hedges, repeats *allowance
 	// probesSaved are the probes that the entry may send at probesAt.
 	probesSaved float64
-	probesAt    time.Time
+	// rechecking is set while a look for upstreams is due for waiting requests.
+	rechecking bool
+	probesAt   time.Time
+	// spans holds the time that callers of a route allow with their first attempt.
+	spans map[string]time.Duration
 }
 
 func newService(n *Node, name string) *service {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
 	s := &service{
-		node: n, pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New(),
+		node: n, spans: make(map[string]time.Duration), pool: balancer.New(n.Seed^h.Sum64(), n.DataCentre), queue: admitter.New(),
 		hedges: &allowance{saved: maxSaved, most: maxSaved}, repeats: &allowance{saved: maxSaved, most: maxSaved},
 	}
 	if n.Managed != nil {
@@ -64,6 +68,37 @@
 	s.queue.Update(c.Ranks)
 }
 
+const (
+	// spanDecay is the reciprocal share of a shortfall by which a route's span falls
+	// with each request, so that it follows callers that come to allow less.
+	spanDecay = 100
+	// leastFirst is the share of a route's span that a first attempt allows at
+	// least; callers are not equally patient.
+	leastFirst = 0.85
+	// meanFirst is the share that it allows on average.
+	meanFirst = 0.925
+)
+
+// began estimates when a caller first sent a request. Callers that come back
+// after a refusal allow less time than they did at first.
+func (s *service) began(now time.Time, ev RequestArrived) time.Time {
+	if ev.Deadline.IsZero() {
+		return now
+	}
+	left := ev.Deadline.Sub(now)
+	span := s.spans[ev.Route]
+	if left >= span {
+		span = left
+	} else {
+		span -= (span - left) / spanDecay
+	}
+	s.spans[ev.Route] = span
+	if float64(left) >= leastFirst*float64(span) {
+		return now
+	}
+	return ev.Deadline.Add(-time.Duration(meanFirst * float64(span)))
+}
+
 // same reports whether a configuration of the service is the one in force.
 func (s *service) same(c *patcher.Service) bool {
 	have := s.config
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -171,8 +171,9 @@
 	}
 }
 
-// Resumed notes that the registry answers again after an outage.
-func (g *Registrar) Resumed(now time.Time) { g.lapseUntil = now.Add(LapsePeriod) }
+// Resumed notes that the registry answers again after an outage, by which
+// registrations may be missing until the given time.
+func (g *Registrar) Resumed(until time.Time) { g.lapseUntil = until }
 
 // Expire drops the upstreams that did not register again after an outage; it
 // returns when the next one is due, zero if none is.
