Read on behind the newest record of a list, and test the platform's parts

Change: reading goes on behind the newest record of the list, at its end only if the records between have expired.

--- a/internal/driver/follow.go
+++ b/internal/driver/follow.go
@@ -18,8 +18,9 @@
 // Page is a run of records of a topic.
 type Page struct {
 	Facts []reducer.Fact
-	// Next is the offset after the last record.
+	// Next is the offset after the last record, End the one that the next append gets.
 	Next uint64
+	End  uint64
 }
 
 // Store is where the configuration and the upstreams of a managed deployment are kept.
@@ -64,7 +65,7 @@
 		if err != nil {
 			return reducer.StoreFailed{Stamp: s, ID: e.ID, Topic: e.Topic, Expired: errors.Is(err, ErrExpired), Problem: err.Error()}
 		}
-		return reducer.StoreRead{Stamp: s, ID: e.ID, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next}
+		return reducer.StoreRead{Stamp: s, ID: e.ID, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next, End: page.End}
 	})
 	if err == nil {
 		d.limitCallers()
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -116,6 +116,9 @@
 	Facts []Fact
 	// Next is the offset after the last record.
 	Next uint64
+	// End is the offset that the next append gets. A list of all records may be
+	// older than the end that comes with it.
+	End uint64
 }
 
 // StoreFailed reports a read of the store without a usable answer.
@@ -149,6 +152,8 @@
 	// id is that of the read in progress.
 	id   uint64
 	next uint64
+	// end is the end that came with a list of all records that has not been read on from yet, 0 if there is none.
+	end uint64
 	// loaded is set once the topic was read whole.
 	loaded bool
 	// begunAt is when the read in progress, or the last one, began.
@@ -202,6 +207,10 @@
 		n.storeBack(ev.Topic, r)
 	}
 	r.next = ev.Next
+	r.end = 0
+	if ev.Whole {
+		r.end = ev.End
+	}
 	r.loaded = r.loaded || ev.Whole
 	names := make(map[string]bool)
 	for _, f := range ev.Facts {
@@ -242,7 +251,7 @@
 		return
 	}
 	if ev.Expired {
-		n.readWhole(ev.Topic)
+		n.readExpired(ev.Topic, r)
 		return
 	}
 	r.triedAt = r.begunAt
@@ -262,6 +271,18 @@
 	})
 }
 
+// readExpired reads a list of all records, or goes on at its end if the records
+// between the list and its end are those that have expired.
+func (n *Node) readExpired(t Topic, r *reading) {
+	if r.end <= r.next {
+		n.readWhole(t)
+		return
+	}
+	r.next = r.end
+	r.end = 0
+	n.readOn(t)
+}
+
 func (n *Node) takeFact(f Fact, names map[string]bool) {
 	g := n.follow.registrar
 	switch f := f.(type) {
--- /dev/null
+++ b/internal/registrar/registrar_test.go
@@ -0,0 +1,126 @@
+package registrar
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/router"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+var start = time.Unix(1000, 0)
+
+func registration(name string, born, sequence int64) Registration {
+	return Registration{
+		Name: name, Service: "tickets", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, Born: born, Sequence: sequence,
+	}
+}
+
+func document(version uint64) Document {
+	return Document{
+		Version:  version,
+		Services: []Service{{Name: "tickets", HealthPath: "/h", Connections: 10}, {Name: "labs"}},
+		Routes: []router.Route{
+			{Name: "r1", Rank: patcher.Rank{Name: "a"}, Shares: []router.Share{{Service: "tickets", Weight: 1}}},
+			{Name: "r2", Rank: patcher.Rank{Name: "a"}, Shares: []router.Share{{Service: "tickets", Weight: 1}, {Service: "labs", Weight: 1}}},
+		},
+	}
+}
+
+func names(t *testing.T, g *Registrar) []string {
+	t.Helper()
+	g.changed = true
+	c, ok := g.Config()
+	if !ok {
+		t.Fatal("no configuration")
+	}
+	s, _ := c.Service("tickets")
+	out := []string{}
+	for _, u := range s.Upstreams {
+		out = append(out, u.Name)
+	}
+	return out
+}
+
+// TestConfig guards against parts of the document or of a registration that get lost on the way.
+func TestConfig(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	g.Register(registration("u1", 1, 1))
+	_, ok := g.Config()
+	is.True(!ok) // without a document
+	is.True(g.Load(document(3)))
+	c, ok := g.Config()
+	is.True(ok)
+	is.Equal(c.Version, uint64(3))
+	s, _ := c.Service("tickets")
+	is.Equal(s.HealthPath, "/h")
+	is.Equal(len(s.Ranks), 1) // routes of one rank share it
+	is.Equal(s.Upstreams, []patcher.Upstream{{Name: "u1", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, Connections: 10, Born: 1}})
+	_, ok = g.Config()
+	is.True(!ok) // nothing new
+}
+
+// TestOldDocument guards against a version that takes the place of a newer one.
+func TestOldDocument(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	is.True(g.Load(document(3)))
+	is.True(!g.Load(document(3)))
+	is.True(!g.Load(document(2)))
+	is.Equal(g.Document().Version, uint64(3))
+}
+
+// TestOldRegistration guards against delayed records that undo a drain, a
+// restart or a departure.
+func TestOldRegistration(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		first Registration
+		gone  bool
+		next  Registration
+		taken bool
+	}{
+		{"newer record", registration("u", 1, 5), false, registration("u", 1, 6), true},
+		{"older record", registration("u", 1, 5), false, registration("u", 1, 4), false},
+		{"later start", registration("u", 1, 5), false, registration("u", 2, 1), true},
+		{"earlier start", registration("u", 2, 1), false, registration("u", 1, 9), false},
+		{"after it left", registration("u", 1, 5), true, registration("u", 1, 5), false},
+		{"back after it left", registration("u", 1, 5), true, registration("u", 1, 6), true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			g := New()
+			g.Register(c.first)
+			if c.gone {
+				is.True(g.Deregister(start, "u"))
+			}
+			c.next.Draining = true
+			is.Equal(g.Register(c.next), c.taken)
+		})
+	}
+}
+
+// TestLapse guards against the loss of upstreams whose registrations expired in
+// an outage, and against keeping those that left in it for longer than allowed.
+func TestLapse(t *testing.T) {
+	is := is.New(t)
+	g := New()
+	g.Load(document(1))
+	for _, name := range []string{"left", "lives"} {
+		g.Register(registration(name, 1, 1))
+	}
+	end := start.Add(LapsePeriod)
+	g.Resumed(end)
+	g.Keep(start, map[string]bool{})
+	is.Equal(names(t, g), []string{"left", "lives"})
+	g.Register(registration("lives", 1, 2))
+	is.Equal(g.Expire(end.Add(-1)), end)
+	is.True(g.Expire(end).IsZero())
+	is.Equal(names(t, g), []string{"lives"})
+	is.True(g.Deregister(end, "lives")) // the time is over
+	is.Equal(names(t, g), []string{})
+}
