Log why requests fail, and read a version again that peers have

Change: one line for each request that is refused, failed, repeated or left, with its attempts, what each choice was based on and the age of that; one in a hundred plain successes. Lines beyond 20 a second of one message are thinned, a full buffer drops and counts. A managed entry reads the document again when a peer has had a newer version for half a second, and waits 4 s instead of 6 s for a new one.

--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -10,11 +10,11 @@
 	prev, next *Attempt
 	// answered is set once the attempt no longer counts as open.
 	answered bool
-	condition
+	Condition
 }
 
 func (u *upstream) begin(now time.Time, r *rankLatency) *Attempt {
-	a := &Attempt{upstream: u, rank: r, started: now, prev: u.newest, condition: u.conditionNow(now)}
+	a := &Attempt{upstream: u, rank: r, started: now, prev: u.newest, Condition: u.conditionNow(now)}
 	if u.newest != nil {
 		u.newest.next = a
 	} else {
--- a/internal/balancer/crowd.go
+++ b/internal/balancer/crowd.go
@@ -16,25 +16,30 @@
 	maxCrowding = 5
 )
 
-// condition is what was known of an upstream when an attempt was sent.
-type condition struct {
-	// known is set if a report was fresh.
+// Condition is what was known of an upstream when an attempt was sent.
+type Condition struct {
+	// ReportedAt is when the last report came, zero if there was none.
+	ReportedAt time.Time
+	// Pace and Running are what it told.
+	Pace    float64
+	Running int
+	// known is set if the report was fresh.
 	known bool
-	pace  float64
 	use   float64
 }
 
-func (u *upstream) conditionNow(now time.Time) condition {
-	if u.pace <= 0 || now.Sub(u.pacedAt) > freshReport {
-		return condition{}
+func (u *upstream) conditionNow(now time.Time) Condition {
+	return Condition{
+		ReportedAt: u.reportedAt, Pace: u.pace, Running: u.running,
+		known: u.pace > 0 && now.Sub(u.pacedAt) <= freshReport,
+		use:   float64(u.running+1) / float64(max(u.Slots, 1)),
 	}
-	return condition{known: true, pace: u.pace, use: float64(u.running+1) / float64(max(u.Slots, 1))}
 }
 
 // Launch notes the conditions under which an attempt is sent.
 func (p *Pool) Launch(now time.Time, a *Attempt) {
 	a.started = now
-	a.condition = a.upstream.conditionNow(now)
+	a.Condition = a.upstream.conditionNow(now)
 }
 
 // crowding is what a pool learned of upstreams that are nearly full.
@@ -46,10 +51,10 @@
 
 // learnCondition takes the latency of an attempt whose conditions were known.
 func (p *Pool) learnCondition(a *Attempt, latency time.Duration) {
-	if !a.known || a.pace >= slowPace {
+	if !a.known || a.Pace >= slowPace {
 		return
 	}
-	plain := time.Duration(float64(latency) / a.pace)
+	plain := time.Duration(float64(latency) / a.Pace)
 	if a.use <= crowdedUse {
 		if a.rank.usual == 0 {
 			a.rank.usual = plain
--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -46,15 +46,16 @@
 	}
 	debug.SetGCPercent(platformCollector)
 	debug.SetMemoryLimit(int64(float64(s.Memory) * heapShare))
-	logger := e.platformLogger(s)
-	defer func() { _ = logger.Sync() }()
-	p, err := newPlatformEntry(s, logger)
+	log := newPlatformLog(e.stdout, s)
+	defer log.writer.close()
+	p, err := newPlatformEntry(s, log.Logger)
 	if err != nil {
-		logger.Error("entry not started", zap.NamedError("Error", err))
+		log.Error("entry not started", zap.NamedError("Error", err))
 		return e.fail(err)
 	}
+	p.driver.Register(log.collectors()...)
 	if err := p.run(e.signals, *path); err != nil {
-		logger.Error("entry ended", zap.NamedError("Error", err))
+		log.Error("entry ended", zap.NamedError("Error", err))
 		return ExitFailure
 	}
 	return ExitOK
--- a/internal/commander/platformlog.go
+++ b/internal/commander/platformlog.go
@@ -1,19 +1,100 @@
 package commander
 
 import (
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"github.com/azuretrestle/azuretrestle/platform"
 )
 
-// platformLogger writes structured lines to standard output.
-func (e *environment) platformLogger(s *platform.Settings) *zap.Logger {
+const (
+	// linesPerSecond is the number of lines of one message that are logged each
+	// second; beyond, every lineShare-th is.
+	linesPerSecond = 20
+	lineShare      = 50
+	// maxLines bounds the lines that wait to be written.
+	maxLines = 2048
+)
+
+// lineWriter hands lines to a goroutine, so that a reader that is slow or gone
+// never holds up a request. Lines that find no room are dropped and counted.
+type lineWriter struct {
+	lines   chan []byte
+	dropped *atomic.Uint64
+	done    chan struct{}
+}
+
+func newLineWriter(w io.Writer, dropped *atomic.Uint64) *lineWriter {
+	l := &lineWriter{lines: make(chan []byte, maxLines), dropped: dropped, done: make(chan struct{})}
+	go func() {
+		defer close(l.done)
+		for b := range l.lines {
+			_, _ = w.Write(b)
+		}
+	}()
+	return l
+}
+
+// Write queues a copy of a line; it never fails.
+func (l *lineWriter) Write(b []byte) (int, error) {
+	line := make([]byte, len(b))
+	copy(line, b)
+	select {
+	case l.lines <- line:
+	default:
+		l.dropped.Add(1)
+	}
+	return len(b), nil
+}
+
+// close writes what is queued; nothing may be logged afterwards.
+func (l *lineWriter) close() {
+	close(l.lines)
+	<-l.done
+}
+
+// platformLog is the structured log of an entry on the platform.
+type platformLog struct {
+	*zap.Logger
+	writer *lineWriter
+	// dropped counts lines that found no room, omitted those beyond the rate.
+	dropped, omitted atomic.Uint64
+}
+
+// newPlatformLog writes JSON lines to standard output.
+func newPlatformLog(w io.Writer, s *platform.Settings) *platformLog {
+	p := &platformLog{}
+	p.writer = newLineWriter(w, &p.dropped)
 	config := zap.NewProductionEncoderConfig()
 	config.TimeKey = "Time"
 	config.LevelKey = "Level"
 	config.MessageKey = "Message"
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(e.stdout), zapcore.InfoLevel)
-	return zap.New(core).With(zap.String("Entry", s.Name))
+	config.EncodeDuration = zapcore.StringDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(config), zapcore.AddSync(p.writer), zapcore.InfoLevel)
+	core = zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, lineShare, zapcore.SamplerHook(p.sampled))
+	p.Logger = zap.New(core).With(zap.String("Entry", s.Name))
+	return p
+}
+
+func (p *platformLog) sampled(_ zapcore.Entry, d zapcore.SamplingDecision) {
+	if d&zapcore.LogDropped != 0 {
+		p.omitted.Add(1)
+	}
+}
+
+// collectors returns the counts of lines that were left out.
+func (p *platformLog) collectors() []prometheus.Collector {
+	counter := func(name, help string, v *atomic.Uint64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "azuretrestle", Name: name, Help: help}, func() float64 { return float64(v.Load()) })
+	}
+	return []prometheus.Collector{
+		counter("log_lines_dropped_total", "Log lines that found no room to wait.", &p.dropped),
+		counter("log_lines_omitted_total", "Log lines beyond the rate of their message.", &p.omitted),
+	}
 }
--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -47,6 +47,8 @@
 	uploaded bool
 	// id is the caller's own name of the request, empty if it has none.
 	id string
+	// ending is what the caller got, nil if it left.
+	ending reply
 	// route is the name of the route that the request came by.
 	route string
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -30,6 +30,8 @@
 	// wire and store are nil unless the driver runs a managed entry.
 	wire  Wire
 	store Store
+	// served counts requests, of which only some that went well are logged.
+	served atomic.Uint64
 	// progress is progressPatience.
 	progress time.Duration
 
--- a/internal/driver/follow.go
+++ b/internal/driver/follow.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -58,6 +59,7 @@
 	if d.ctx.Err() != nil {
 		return
 	}
+	d.metrics.storeReads.WithLabelValues(e.Topic.String(), strconv.FormatBool(err == nil)).Inc()
 	if err != nil {
 		d.logger.Debug("store not read", zap.Stringer("Topic", e.Topic), zap.NamedError("Error", err))
 	}
@@ -102,6 +104,30 @@
 	})
 }
 
+// callerConnections returns the number of open connections of callers.
+func (d *Driver) callerConnections() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	open := 0
+	for _, s := range d.servers {
+		if a, ok := s.(*acceptor.Server); ok {
+			open += a.Connections()
+		}
+	}
+	return open
+}
+
+// upstreamConnections returns the number of open connections to upstreams.
+func (d *Driver) upstreamConnections() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	open := 0
+	for _, p := range d.conns {
+		open += p.Open()
+	}
+	return open
+}
+
 // SetRepeats changes how many requests all entries together may send once more.
 func (d *Driver) SetRepeats(ratio, slack float64) {
 	d.mu.Lock()
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -25,6 +25,7 @@
 	probeSeconds *prometheus.CounterVec
 	changes      *prometheus.CounterVec
 	panics       prometheus.Counter
+	storeReads   *prometheus.CounterVec
 }
 
 // The target for one hop is 0.42 ms; 15 doublings of 0.25 ms reach 8 s, beyond the patience of urgent ranks.
@@ -44,16 +45,19 @@
 		attempts:     counters("attempts_total", "Attempts by service, upstream and result.", "service", "upstream", "result"),
 		probes:       counters("probes_total", "Probes of upstreams by service and success.", "service", "ok"),
 		probeSeconds: counters("probe_seconds_total", "Time spent waiting for probes.", "service"),
+		storeReads:   counters("store_reads_total", "Reads of the platform's store by topic and success.", "topic", "ok"),
 		changes:      counters("state_changes_total", "Entries of the audit trail made by this entry, by action.", "action"),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "panics_total", Help: "Panics recovered.",
 		}),
 	}
 	m.registry.MustRegister(
-		m.requests, m.latency, m.inFlight, m.attempts, m.probes, m.probeSeconds, m.changes, m.panics,
+		m.requests, m.latency, m.inFlight, m.storeReads, m.attempts, m.probes, m.probeSeconds, m.changes, m.panics,
 		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		gauge("config_version", "Configuration version in force.", func() float64 { return float64(d.version()) }),
 		gauge("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.memory.held.Load()) }),
+		gauge("caller_connections", "Open connections of callers to a managed entry.", func() float64 { return float64(d.callerConnections()) }),
+		gauge("upstream_connections", "Open connections to upstreams of a managed entry.", func() float64 { return float64(d.upstreamConnections()) }),
 		gauge("open_peers", "Entries that messages were sent to lately.", func() float64 { return float64(d.peers.Stats().Peers) }),
 		peerCounter(d, "sent", func(s messenger.Stats) uint64 { return s.Sent }),
 		peerCounter(d, "received", func(s messenger.Stats) uint64 { return s.Received }),
@@ -114,6 +118,9 @@
 	return d.node.Config().Version
 }
 
+// Register adds metrics of the process to those of the driver.
+func (d *Driver) Register(cs ...prometheus.Collector) { d.metrics.registry.MustRegister(cs...) }
+
 // Gatherer returns the metrics of the driver and its node.
 func (d *Driver) Gatherer() prometheus.Gatherer { return d.metrics.registry }
 
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -87,6 +87,7 @@
 	if code != classifier.OK {
 		d.write(w, r, c.refuse(code))
 		d.metrics.count("", "", code, begun)
+		d.explain(c, route.Rank.Name, code, begun)
 		return
 	}
 	c.service = service
@@ -95,7 +96,10 @@
 	d.metrics.inFlight.Inc()
 	defer d.metrics.inFlight.Dec()
 	code = classifier.CallerGone
-	defer func() { d.metrics.count(service, route.Rank.Name, code, begun) }()
+	defer func() {
+		d.metrics.count(service, route.Rank.Name, code, begun)
+		d.explain(c, route.Rank.Name, code, begun)
+	}()
 	defer c.release()
 	if refused := d.readRouteBody(c, route.Rank); refused != classifier.OK {
 		w.Header().Set("Connection", "close")
@@ -110,6 +114,7 @@
 	d.runInline(c, id)
 	select {
 	case rep := <-c.reply:
+		c.ending = rep
 		return d.write(w, c.request, rep)
 	case <-c.request.Context().Done():
 		d.abandon(id)
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -47,6 +47,7 @@
 	answer *answer
 	// conns is set in place of pool for a managed entry.
 	conns *dialer.Pool
+	trace attemptTrace
 }
 
 // dispatch starts an attempt; d.mu is held.
@@ -55,7 +56,7 @@
 	if !ok {
 		return
 	}
-	a := &attempt{id: e.Attempt, call: c}
+	a := &attempt{id: e.Attempt, call: c, trace: newTrace(e)}
 	run := func() { d.try(e, a) }
 	if d.wire != nil {
 		a.conns = d.connections(e.Service, e.Address, e.Connections)
@@ -160,6 +161,7 @@
 	d.metrics.attempt(e.Service, e.Upstream, f)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	a.trace.end(results[f], sent)
 	delete(d.attempts, a.id)
 	if code := a.call.upload.code(); code != classifier.OK && !a.call.ended {
 		out := reducer.Refuse{ID: a.id.Request, Code: code, Outcome: classifier.OutcomeNotRun}
@@ -208,6 +210,7 @@
 		return
 	}
 	a.answer = ans
+	a.trace.answered(ans.status, ev.NotRun)
 	ev.Stamp = stamp()
 	d.step(ev)
 	if ev.NotRun && a.answer != nil && d.attempts[a.id] == a {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
@@ -25,6 +26,8 @@
 	Fresh bool
 	// StoreAnswer asks for the body in UpstreamAnswered, to be kept for repeats of the key.
 	StoreAnswer bool
+	// Known is what the choice was based on.
+	Known balancer.Condition
 }
 
 // Cancel abandons an attempt.
@@ -40,6 +43,10 @@
 	Outcome classifier.Outcome
 	// RetryAt is when a repeat may succeed; zero if not known.
 	RetryAt time.Time
+	// Waiting is the number of requests that waited for the service.
+	Waiting int
+	// Due is when an answer would no longer have been in time; zero if that is not known.
+	Due time.Time
 }
 
 // AnswerStored gives a caller the stored result of an earlier attempt with the same key.
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -28,7 +28,7 @@
 	// take effect within 2 s, of which an answer of the store may take some.
 	pollInterval = 800 * time.Millisecond
 	// documentWait is how long a read waits for a new document.
-	documentWait = 6 * time.Second
+	documentWait = 4 * time.Second
 	// storeMargin is the time beyond its wait after which a read has failed.
 	storeMargin = 1500 * time.Millisecond
 	// pollPatience is the time after which a read of registrations has failed.
@@ -40,6 +40,8 @@
 	leastLapse = 800 * time.Millisecond
 	// retryInterval is the pause after a failed read; a random part of it is added.
 	retryInterval = 300 * time.Millisecond
+	// newerInterval is the time between two reads for a version that peers have.
+	newerInterval = 500 * time.Millisecond
 	// outagePeriod is the length of an outage from which registrations may have expired by it.
 	outagePeriod = 2 * time.Second
 	// managedShare is the part of the allowed repeats that is used, since entries
@@ -141,6 +143,8 @@
 	config    *patcher.Config
 	routes    *router.Table
 	read      [topics]reading
+	// newerAt is when the document may be read again for a version that peers have.
+	newerAt time.Time
 	// expiry is the timer of lapsed registrations.
 	expiry *timer
 	// entries is the number of entries that the configuration in force was divided by.
@@ -271,6 +275,20 @@
 	})
 }
 
+// readNewer reads the document again because a peer has a newer version, which
+// the read in progress should have brought.
+func (n *Node) readNewer() {
+	f := &n.follow
+	if !f.read[TopicDocument].loaded || n.now.Before(f.newerAt) {
+		return
+	}
+	first := f.newerAt.IsZero() || n.now.Sub(f.newerAt) > 2*newerInterval
+	f.newerAt = n.now.Add(newerInterval)
+	if !first {
+		n.readOn(TopicDocument)
+	}
+}
+
 // readExpired reads a list of all records, or goes on at its end if the records
 // between the list and its end are those that have expired.
 func (n *Node) readExpired(t Topic, r *reading) {
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -1,6 +1,7 @@
 package reducer_test
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"testing"
 	"time"
@@ -8,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/internal/registrar"
 	"github.com/azuretrestle/azuretrestle/internal/router"
@@ -166,6 +168,29 @@
 	is.True(m.reads[reducer.TopicDocument].ID > swallowed)
 }
 
+// TestPeerVersion guards against an entry that stays on an old version because
+// its waiting read is never answered, although its peers have a newer one.
+func TestPeerVersion(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	waiting := m.reads[reducer.TopicDocument].ID
+	peer := gossiper.NewView(gossiper.Entry{Name: "e2", Incarnation: 1, PeerAddress: netip.MustParseAddrPort("10.0.0.2:1")})
+	for range 4 {
+		peer.Update(m.now, gossiper.Alive, 9, 0, false)
+		x := peer.Compose(m.now, gossiper.Ask, "e1", 0, gossiper.Facts{}, rand.New(rand.NewPCG(1, 1)))
+		x.Profile = peer.Profile()
+		m.step(reducer.PeerMessageReceived{Stamp: m.stamp(), From: "e2", FromIncarnation: 1, Message: reducer.Exchange{Exchange: x}})
+		m.advance(300 * time.Millisecond)
+	}
+	is.True(m.reads[reducer.TopicDocument].ID > waiting)
+	m.read(reducer.TopicDocument, 2, managedDocument(9, patcher.Idempotent))
+	is.Equal(m.node.Config().Version, uint64(9))
+	current := m.reads[reducer.TopicDocument].ID
+	m.advance(2 * time.Second)
+	is.Equal(m.reads[reducer.TopicDocument].ID, current)
+}
+
 // TestStaleListing guards against records that are missed because a listing was
 // older than the offset that came with it, and against reading lists for ever
 // when the records behind it have expired.
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -139,6 +139,9 @@
 	}
 	n.view.Update(n.now, n.state, version, len(n.requests), !n.fresh())
 	n.reportChanges()
+	if behind && n.Managed != nil {
+		n.readNewer()
+	}
 }
 
 func (n *Node) heardMajority(m gossiper.Majority) {
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -185,7 +185,7 @@
 	n.emit(Dispatch{
 		Attempt: a.id, Service: r.service.config.Name, Rank: r.rank.Name,
 		Upstream: c.Name, Address: c.Address, Connections: c.Connections,
-		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil,
+		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil, Known: c.Attempt.Condition,
 	})
 	n.watch(r)
 	n.watchSilence(r, a)
