Start from what peers read while the store is away

Cause: in two incidents entries that were stopped and started during an outage of the store stood without a configuration for six seconds, while their peers had all that they lacked.

Change: an entry without a configuration asks a peer, which answers with the document and all registrations.

--- a/internal/messenger/wire.go
+++ b/internal/messenger/wire.go
@@ -32,6 +32,7 @@
 	typeConfigRequest = 8
 	typeConfigAnswer  = 9
 	typeStoreCopy     = 10
+	typeStoreRequest  = 11
 )
 
 // batch is what travels in one drpc message.
@@ -134,6 +135,8 @@
 		return typeConfigAnswer, nil
 	case reducer.StoreCopy:
 		return typeStoreCopy, nil
+	case reducer.StoreRequest:
+		return typeStoreRequest, nil
 	default:
 		return 0, errors.Errorf("message of unknown type %T", m)
 	}
@@ -170,6 +173,8 @@
 		return decodeAs[reducer.ConfigAnswer](w.Body)
 	case typeStoreCopy:
 		return decodeAs[reducer.StoreCopy](w.Body)
+	case typeStoreRequest:
+		return decodeAs[reducer.StoreRequest](w.Body)
 	default:
 		return nil, errors.Errorf("message of unknown type %d", w.Type)
 	}
--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -75,10 +75,12 @@
 		return
 	}
 	r := &n.follow.read[c.Topic]
-	if !r.loaded || c.Next < r.next {
+	switch {
+	case c.Whole && !r.loaded:
+		r.loaded = true
+	case c.Whole || !r.loaded || c.Next < r.next:
 		return
-	}
-	if c.From > r.next {
+	case c.From > r.next:
 		n.readOn(c.Topic)
 		return
 	}
@@ -86,7 +88,7 @@
 	if c.LapseLeft > 0 {
 		n.follow.registrar.Resumed(later(n.follow.registrar.LapseUntil(), n.now.Add(c.LapseLeft)))
 	}
-	if c.Next == r.next {
+	if c.Next == r.next && !c.Whole {
 		return
 	}
 	r.next = c.Next
@@ -98,6 +100,37 @@
 	n.applyStore()
 }
 
+// requestStore asks a peer for what it read, while the store does not answer an entry that starts.
+func (n *Node) requestStore() {
+	var peers []string
+	for _, e := range n.view.Entries() {
+		if n.answers(e) && e.State == gossiper.Alive {
+			peers = append(peers, e.Name)
+		}
+	}
+	if len(peers) > 0 {
+		n.send(peers[n.random.IntN(len(peers))], StoreRequest{})
+	}
+}
+
+// storeRequested answers with all that this entry knows. The receiver reads on
+// from the same offsets once the store answers it.
+func (n *Node) storeRequested(from string) {
+	if n.Managed == nil || !n.follow.complete() {
+		return
+	}
+	g := n.follow.registrar
+	left := max(g.LapseUntil().Sub(n.now), 0)
+	documents := StoreCopy{Topic: TopicDocument, Whole: true, Next: n.follow.read[TopicDocument].next}
+	documents.Documents = []DocumentFact{{*g.Document()}}
+	n.send(from, documents)
+	upstreams := StoreCopy{Topic: TopicUpstreams, Whole: true, Next: n.follow.read[TopicUpstreams].next, LapseLeft: left}
+	for _, r := range g.Registrations() {
+		upstreams.Registrations = append(upstreams.Registrations, RegistrationFact{r})
+	}
+	n.send(from, upstreams)
+}
+
 // facts returns the records in their order.
 func (c StoreCopy) facts() []Fact {
 	var out []Fact
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -26,6 +26,8 @@
 	peer *gossiper.View
 	// reads holds the last read of each topic.
 	reads map[reducer.Topic]reducer.ReadStore
+	// sent holds all messages to peers.
+	sent []reducer.Send
 	// effects are those of the last step.
 	effects []reducer.Effect
 	timer   time.Time
@@ -50,6 +52,7 @@
 		case reducer.SetTimer:
 			m.timer = e.Deadline
 		case reducer.Send:
+			m.sent = append(m.sent, e)
 			m.reply(e)
 		}
 	}
@@ -250,6 +253,39 @@
 	is.True(reads) // records are missing
 }
 
+// TestStartInOutage guards against an entry that can't serve because it starts
+// while the store is away, although its peers have all that it needs.
+func TestStartInOutage(t *testing.T) {
+	is := is.New(t)
+	running := newManaged(t)
+	running.serve(patcher.Idempotent, "u1", "u2")
+	running.join("e2", 1)
+	m := newManaged(t)
+	m.fail(reducer.TopicDocument, false)
+	m.fail(reducer.TopicUpstreams, false)
+	m.join("e0", 1)
+	requested := false
+	for _, e := range m.sent {
+		_, ok := e.Message.(reducer.StoreRequest)
+		requested = requested || ok
+	}
+	is.True(requested)
+	running.from(reducer.StoreRequest{})
+	for _, e := range running.effects {
+		if s, ok := e.(reducer.Send); ok {
+			m.from(s.Message)
+		}
+	}
+	is.True(m.node.Ready())
+	is.Equal(m.node.Config().Version, uint64(1))
+	is.Equal(len(m.node.Upstreams("tickets")), 2)
+	m.fail(reducer.TopicDocument, false)
+	m.fail(reducer.TopicUpstreams, false)
+	m.advance(3 * time.Second)
+	is.Equal(m.reads[reducer.TopicDocument].From, uint64(1))
+	is.Equal(m.reads[reducer.TopicUpstreams].From, uint64(5))
+}
+
 // TestShareRead guards against copies that lack a change or carry heartbeats.
 func TestShareRead(t *testing.T) {
 	is := is.New(t)
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -55,6 +55,9 @@
 		n.settle()
 		n.confirm()
 	}
+	if n.Managed != nil && !n.follow.complete() {
+		n.requestStore()
+	}
 	n.reportSilent()
 }
 
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -42,6 +42,8 @@
 // not read it themselves.
 type StoreCopy struct {
 	Topic Topic
+	// Whole is set if the copy holds all that the sender knows of the topic.
+	Whole bool `cbor:",omitempty"`
 	// From and Next bound the records; those that change nothing are left out.
 	From, Next    uint64
 	Documents     []DocumentFact     `cbor:",omitempty"`
@@ -53,6 +55,9 @@
 	LapseLeft time.Duration `cbor:",omitempty"`
 }
 
+// StoreRequest asks an entry for all that it read from the store.
+type StoreRequest struct{}
+
 // RemovedCopy is a registration that ended.
 type RemovedCopy struct {
 	Name  string
@@ -60,6 +65,7 @@
 }
 
 func (StoreCopy) peerMessage()     {}
+func (StoreRequest) peerMessage()  {}
 func (Exchange) peerMessage()      {}
 func (Intent) peerMessage()        {}
 func (Grant) peerMessage()         {}
--- a/internal/reducer/peer.go
+++ b/internal/reducer/peer.go
@@ -35,6 +35,8 @@
 		n.exchange(ev.From, m)
 	case StoreCopy:
 		n.storeCopied(m)
+	case StoreRequest:
+		n.storeRequested(ev.From)
 	case ConfigRequest:
 		n.configRequested(ev.From, m)
 	case ConfigAnswer:
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -177,6 +177,15 @@
 // registrations may be missing until the given time.
 func (g *Registrar) Resumed(until time.Time) { g.lapseUntil = until }
 
+// Registrations returns the newest registrations, sorted by name.
+func (g *Registrar) Registrations() []Registration {
+	var out []Registration
+	for _, name := range g.names() {
+		out = append(out, g.entries[name].Registration)
+	}
+	return out
+}
+
 // LapseUntil is when the time ends in which registrations may be missing by an outage.
 func (g *Registrar) LapseUntil() time.Time { return g.lapseUntil }
 
