Prefer upstreams with open connections in large services

In an outage of the store all entries read it two to three times a second, and after a list of all records each had to list them for itself.

Change: in services of over 32 upstreams those used in the last five seconds are compared too, and the others cost a quarter more. After failed reads an entry waits longer the more entries come before it. Records that copies lack are asked of the peer that sent them.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -72,6 +72,7 @@
 	// untold counts the reports that told none.
 	untold int
 	crowd  crowding
+	warmth
 }
 
 // Need describes the request that an upstream is picked for.
@@ -162,6 +163,7 @@
 	if best == nil {
 		return Choice{}, false
 	}
+	p.use(now, best)
 	a := best.begin(now, p.rank(need.Rank))
 	return Choice{
 		Attempt: a, Name: best.Name, Address: best.Address,
@@ -195,6 +197,7 @@
 		}
 		consider(p.upstreams[(start+i*step)%n])
 	}
+	p.considerWarm(now, consider)
 	if p.freed != nil {
 		consider(p.freed)
 	}
--- a/internal/balancer/cost.go
+++ b/internal/balancer/cost.go
@@ -76,6 +76,7 @@
 	if !u.suspectedAt.IsZero() {
 		c *= trialCost
 	}
+	c *= p.coldness(now, u)
 	if u.DataCentre != p.dataCentre {
 		c += distanceCost
 	}
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -49,6 +49,10 @@
 	// doubted is set while the upstream is in the pool's list of doubted ones.
 	doubted  bool
 	probedAt time.Time
+	// usedAt is when the upstream last got an attempt.
+	usedAt time.Time
+	// listedWarm is set while the upstream is in the pool's list of those in use.
+	listedWarm bool
 
 	// others estimates the requests of other entries at the upstream.
 	others     float64
--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -15,6 +15,8 @@
 	// one entry takes over the reading; maxTurns bounds it.
 	turnDelay = 150 * time.Millisecond
 	maxTurns  = 3
+	// requestInterval is the time between two requests for missing records.
+	requestInterval = 250 * time.Millisecond
 	// copyCheck is how often an entry that relies on copies looks at their age.
 	copyCheck = 100 * time.Millisecond
 )
@@ -69,19 +71,19 @@
 	}
 }
 
-// storeCopied takes what another entry read, unless records in between are missing here.
-func (n *Node) storeCopied(c StoreCopy) {
+// storeCopied takes what another entry read, and asks for the records in between if some are missing here.
+func (n *Node) storeCopied(from string, c StoreCopy) {
 	if n.Managed == nil || c.Topic >= topics {
 		return
 	}
 	r := &n.follow.read[c.Topic]
 	switch {
-	case c.Whole && !r.loaded:
+	case c.Whole && (!r.loaded || c.Next > r.next):
 		r.loaded = true
 	case c.Whole || !r.loaded || c.Next < r.next:
 		return
 	case c.From > r.next:
-		n.readOn(c.Topic)
+		n.requestMissing(from)
 		return
 	}
 	r.copiedAt = n.now
@@ -97,9 +99,22 @@
 	for _, f := range c.facts() {
 		n.takeFact(f, names)
 	}
+	if c.Whole && c.Topic == TopicUpstreams {
+		n.follow.registrar.Keep(n.now, names)
+	}
 	n.applyStore()
 }
 
+// requestMissing asks a peer for records that its copies lack. If it does not
+// answer, copies go stale and this entry reads the store.
+func (n *Node) requestMissing(peer string) {
+	if n.now.Before(n.follow.requestAt) {
+		return
+	}
+	n.follow.requestAt = n.now.Add(requestInterval)
+	n.send(peer, StoreRequest{})
+}
+
 // requestStore asks a peer for what it read, while the store does not answer an entry that starts.
 func (n *Node) requestStore() {
 	var peers []string
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -40,6 +40,9 @@
 	leastLapse = 800 * time.Millisecond
 	// retryInterval is the pause after a failed read; a random part of it is added.
 	retryInterval = 300 * time.Millisecond
+	// retryDelay is added to the pause per entry that comes before this one, for at most maxRetryTurns.
+	retryDelay    = 150 * time.Millisecond
+	maxRetryTurns = 10
 	// newerInterval is the time between two reads for a version that peers have.
 	newerInterval = 500 * time.Millisecond
 	// outagePeriod is the length of an outage from which registrations may have expired by it.
@@ -143,6 +146,8 @@
 	read      [topics]reading
 	// newerAt is when the document may be read again for a version that peers have.
 	newerAt time.Time
+	// requestAt is when a peer may be asked again for missing records.
+	requestAt time.Time
 	// expiry is the timer of lapsed registrations.
 	expiry *timer
 	// entries is the number of entries that the configuration in force was divided by.
@@ -250,7 +255,8 @@
 		r.failedAt = n.now
 		n.audit(auditor.Entry{Actor: n.Name, Action: "StoreLost", Subject: ev.Topic.String(), Cause: ev.Problem, Version: n.Config().Version})
 	}
-	pause := retryInterval + time.Duration(n.random.Int64N(int64(retryInterval)))
+	// Entries that come later wait longer: the first ones notice the end of an outage for all.
+	pause := retryInterval + time.Duration(n.random.Int64N(int64(retryInterval))) + retryDelay*time.Duration(min(n.turn(), maxRetryTurns))
 	n.after(n.now.Add(pause), func() {
 		switch {
 		case ev.ID != r.id:
--- a/internal/reducer/peer.go
+++ b/internal/reducer/peer.go
@@ -34,7 +34,7 @@
 	case Exchange:
 		n.exchange(ev.From, m)
 	case StoreCopy:
-		n.storeCopied(m)
+		n.storeCopied(ev.From, m)
 	case StoreRequest:
 		n.storeRequested(ev.From)
 	case ConfigRequest:
