Let entries read large documents themselves

Change: of documents with over 100 routes the reader tells only where they end, and the others read them from the store.

--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -15,6 +15,9 @@
 	// one entry takes over the reading; maxTurns bounds it.
 	turnDelay = 150 * time.Millisecond
 	maxTurns  = 3
+	// maxCopiedRoutes bounds the routes that are copied. A route takes about 200
+	// bytes, and the link of an entry may carry no more than 1 MB a second.
+	maxCopiedRoutes = 100
 	// requestInterval is the time between two requests for missing records.
 	requestInterval = 250 * time.Millisecond
 	// copyCheck is how often an entry that relies on copies looks at their age.
@@ -53,6 +56,10 @@
 	if ev.Whole {
 		c.From = ev.Next
 	}
+	if tooLarge(changes) {
+		c.From, c.Skipped = ev.Next, true
+		changes = nil
+	}
 	for _, f := range changes {
 		switch f := f.(type) {
 		case DocumentFact:
@@ -71,6 +78,17 @@
 	}
 }
 
+// tooLarge reports whether copies of a document would fill the link of the entry that reads.
+func tooLarge(changes []Fact) bool {
+	routes := 0
+	for _, f := range changes {
+		if d, ok := f.(DocumentFact); ok {
+			routes += len(d.Routes)
+		}
+	}
+	return routes > maxCopiedRoutes
+}
+
 // storeCopied takes what another entry read, and asks for the records in between if some are missing here.
 func (n *Node) storeCopied(from string, c StoreCopy) {
 	if n.Managed == nil || c.Topic >= topics {
@@ -82,6 +100,9 @@
 		r.loaded = true
 	case c.Whole || !r.loaded || c.Next < r.next:
 		return
+	case c.From > r.next && c.Skipped:
+		n.readOn(c.Topic)
+		return
 	case c.From > r.next:
 		n.requestMissing(from)
 		return
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -306,6 +306,27 @@
 	})
 }
 
+// TestLargeDocument guards against copies of a large document to each entry,
+// which hold up versions on thin links.
+func TestLargeDocument(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	m.join("e2", 1)
+	large := managedDocument(2, patcher.Idempotent)
+	for range 500 {
+		large.Routes = append(large.Routes, large.Routes[0])
+	}
+	m.read(reducer.TopicDocument, 2, large)
+	s, ok := find[reducer.Send](m)
+	is.True(ok)
+	is.Equal(s.Message, reducer.StoreCopy{Topic: reducer.TopicDocument, From: 2, Next: 2, Skipped: true})
+	m.from(reducer.StoreCopy{Topic: reducer.TopicDocument, From: 3, Next: 3, Skipped: true})
+	r, reads := find[reducer.ReadStore](m)
+	is.True(reads)
+	is.Equal(r.From, uint64(2))
+}
+
 // TestStaleListing guards against records that are missed because a listing was
 // older than the offset that came with it, and against reading lists for ever
 // when the records behind it have expired.
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -51,6 +51,8 @@
 	// Removed names registrations that ended. Each came after the number of
 	// Registrations given with it.
 	Removed []RemovedCopy `cbor:",omitempty"`
+	// Skipped is set if the records are too large to be copied to each entry.
+	Skipped bool `cbor:",omitempty"`
 	// LapseLeft is how much longer registrations may be missing by an outage.
 	LapseLeft time.Duration `cbor:",omitempty"`
 }
