--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -58,12 +58,6 @@
 	return b.Buffer.String()
 }
 
-const testRoutes = `{"Version":"%08x","Routes":{
- "read":{"Hostname":"h","PathPrefix":"/read/","RouteType":"safe","Timeout":"1500ms","TargetLatency":"300ms","Priority":1,"Service":"%s","MaxAttempts":2},
- "post":{"Hostname":"h","PathPrefix":"/post/","RouteType":"unsafe","Timeout":"700ms","TargetLatency":"400ms","Priority":1,"Service":"tickets","MaxAttempts":2}},
- "Services":{"tickets":{"HealthPath":"/healthz","MaxConnections":50},"other":{"HealthPath":"/healthz","MaxConnections":50}},
- "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":1048576,"HeaderTimeout":"3000ms","IdleTimeout":"15000ms"}}`
-
 func deploy(t *testing.T, entries int) *deployed {
 	t.Helper()
 	d := &deployed{t: t, store: &faker.Store{}, client: &http.Client{Transport: &http.Transport{}}}
@@ -124,7 +118,7 @@
 }
 
 func (d *deployed) configure(version int, service string) {
-	d.store.Put(faker.TopicOperator, "config", fmt.Appendf(nil, testRoutes, version, service))
+	d.store.Put(faker.TopicOperator, "config", faker.Document(version, service))
 }
 
 func (d *deployed) wait(what string, ok func() bool) {
@@ -158,13 +152,11 @@
 
 // send sends a request to an entry; status 0 means that there was no answer.
 func (d *deployed) send(entry int, method, path, id string) (status int, body, retry string) {
-	req, err := http.NewRequestWithContext(context.Background(), method, "http://"+d.entries[entry].settings.Callers.String()+path, http.NoBody)
+	const patience = 2 * time.Second
+	req, err := faker.NewRequest(context.Background(), method, d.entries[entry].settings.Callers.String(), path, id, patience)
 	if err != nil {
 		d.t.Fatal(err)
 	}
-	req.Host = "h"
-	req.Header.Set("Azuretrestle-Attempt-Id", id)
-	req.Header.Set("Azuretrestle-Deadline-Ms", "2000")
 	resp, err := d.client.Do(req)
 	if err != nil {
 		return 0, "", ""
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -85,7 +85,7 @@
 	c := &call{request: r, id: head.ID, onceOnly: true, reply: make(chan reply, 1)}
 	route, service, code := d.match(r)
 	if code != classifier.OK {
-		d.write(w, r, c.refuse(code))
+		d.write(w, r, refuseRequest(code))
 		d.metrics.count("", "", code, begun)
 		d.explain(c, route.Rank.Name, code, begun)
 		return
@@ -103,7 +103,7 @@
 	defer c.release()
 	if refused := d.readRouteBody(c, route.Rank); refused != classifier.OK {
 		w.Header().Set("Connection", "close")
-		code = d.write(w, r, c.refuse(refused))
+		code = d.write(w, r, refuseRequest(refused))
 		return
 	}
 	code = d.serveMatched(w, c, route.Rank, head.Deadline)
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -29,8 +29,8 @@
 	// waits for a record is no substitute: one that met an outage or an append was
 	// at times not answered before its end.
 	pollInterval = 800 * time.Millisecond
-	// listPatienceManaged is the time after which a read of all records has failed.
-	listPatienceManaged = 1500 * time.Millisecond
+	// wholePatience is the time after which a read of all records has failed.
+	wholePatience = 1500 * time.Millisecond
 	// pollPatience is the time after which a read has failed.
 	pollPatience = time.Second
 	// leastLapse is how long registrations may be missing at least once the store
@@ -189,7 +189,7 @@
 }
 
 func (n *Node) readWhole(t Topic) {
-	n.emit(ReadStore{ID: n.newRead(t), Topic: t, Whole: true, Deadline: n.now.Add(listPatienceManaged)})
+	n.emit(ReadStore{ID: n.newRead(t), Topic: t, Whole: true, Deadline: n.now.Add(wholePatience)})
 }
 
 func (n *Node) newRead(t Topic) uint64 {
--- a/internal/reducer/screen.go
+++ b/internal/reducer/screen.go
@@ -49,7 +49,7 @@
 	r.allScreens++
 	n.emit(Probe{
 		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Connections: c.Connections,
-		Path: s.config.HealthPath, Deadline: n.now.Add(screenPatience),
+		Path: s.config.ProbePath, Deadline: n.now.Add(screenPatience),
 	})
 }
 
--- /dev/null
+++ b/internal/reducer/screen_test.go
@@ -0,0 +1,174 @@
+package reducer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
+	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+)
+
+// TestScreen guards against a request that is sent to an upstream which a probe found slow or full.
+func TestScreen(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		report *balancer.Report
+		ok     bool
+		sent   bool
+	}{
+		{"usual pace", &balancer.Report{Pace: 1}, true, true},
+		{"slow", &balancer.Report{Pace: 5}, true, false},
+		{"full", &balancer.Report{Pace: 1, InFlight: 4}, true, false},
+		{"no answer", nil, false, false},
+		{"tells no load", nil, true, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newManaged(t)
+			m.serve(patcher.Unrepeatable, "u1", "u2")
+			m.request(1, time.Second)
+			p, ok := find[reducer.Probe](m)
+			is.True(ok)
+			is.Equal(p.Path, "/h")
+			m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: p.Request, Service: p.Service, Upstream: p.Upstream, OK: c.ok, Report: c.report})
+			d, sent := find[reducer.Dispatch](m)
+			is.Equal(sent, c.sent)
+			if sent {
+				is.Equal(d.Upstream, p.Upstream)
+				return
+			}
+			next, ok := find[reducer.Probe](m)
+			is.True(ok)
+			is.True(next.Upstream != p.Upstream)
+		})
+	}
+}
+
+// TestScreenEnds guards against requests that stay behind when their caller
+// leaves or their time ends during a probe.
+func TestScreenEnds(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	m.request(1, time.Second)
+	p, _ := find[reducer.Probe](m)
+	m.step(reducer.CallerGone{Stamp: m.stamp(), ID: 1})
+	m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: 1, Service: p.Service, Upstream: p.Upstream, OK: true, Report: &balancer.Report{Pace: 1}})
+	_, sent := find[reducer.Dispatch](m)
+	is.True(!sent)
+	m.advance(50 * time.Millisecond) // the report is no longer fresh
+	m.request(2, 100*time.Millisecond)
+	m.advance(100 * time.Millisecond)
+	r, refused := find[reducer.Refuse](m)
+	is.True(refused)
+	is.Equal(r.Outcome, classifier.OutcomeNotRun)
+	is.Equal(m.node.Upstreams("tickets")[0].InFlight, 0)
+}
+
+// TestUnrepeatable guards against a second run of what must run at most once,
+// and against giving up what certainly did not run.
+func TestUnrepeatable(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		sent  bool
+		again bool
+	}{
+		{"may have run", true, false},
+		{"no byte left", false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newManaged(t)
+			m.serve(patcher.Unrepeatable, "u1", "u2")
+			m.request(1, time.Second)
+			p, _ := find[reducer.Probe](m)
+			m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: 1, Service: p.Service, Upstream: p.Upstream, OK: true, Report: &balancer.Report{Pace: 1}})
+			d, ok := find[reducer.Dispatch](m)
+			is.True(ok)
+			m.step(reducer.AttemptFailed{Stamp: m.stamp(), Attempt: d.Attempt, Failure: balancer.FailureLost, Sent: c.sent})
+			_, probed := find[reducer.Probe](m)
+			is.Equal(probed, c.again)
+			r, refused := find[reducer.Refuse](m)
+			is.Equal(refused, !c.again)
+			if refused {
+				is.Equal(r.Outcome, classifier.OutcomeUnknown)
+			}
+		})
+	}
+}
+
+// TestManagedBudget guards against more repeats than the operator allows, also
+// when upstreams turn every attempt away.
+func TestManagedBudget(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1", "u2", "u3")
+	const requests = 400
+	arrivals := 0
+	for id := range requests {
+		m.request(reducer.RequestID(id+1), time.Second)
+		arrivals += m.refuseAll()
+		m.advance(25 * time.Millisecond)
+		arrivals += m.refuseAll()
+	}
+	is.True(arrivals >= requests/2)
+	is.True(float64(arrivals-requests) <= 0.2*requests+60.0/6)
+}
+
+// TestBudgetAtStart guards against entries that each spend the whole slack of
+// repeats before they know of each other.
+func TestBudgetAtStart(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1", "u2", "u3")
+	const requests = 10
+	arrivals := 0
+	for id := range requests {
+		m.request(reducer.RequestID(id+1), time.Second)
+		arrivals += m.refuseAll()
+	}
+	is.True(arrivals <= requests+2)
+}
+
+// refuseAll answers probes well and attempts as not run; it returns the number of attempts.
+func (m *managed) refuseAll() int {
+	arrivals := 0
+	for work := m.effects; len(work) > 0; work = m.effects {
+		m.effects = nil
+		var next []reducer.Effect
+		for _, e := range work {
+			switch e := e.(type) {
+			case reducer.Probe:
+				m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: e.Request, Service: e.Service, Upstream: e.Upstream, OK: true, Report: &balancer.Report{Pace: 1}})
+				next = append(next, m.effects...)
+			case reducer.Dispatch:
+				arrivals++
+				m.step(reducer.UpstreamAnswered{Stamp: m.stamp(), Attempt: e.Attempt, Status: 503, NotRun: true, Whole: true})
+				next = append(next, m.effects...)
+			}
+		}
+		m.effects = next
+	}
+	return arrivals
+}
+
+// TestSpan guards against first attempts that count as repeats, since callers
+// are not equally patient, and repeats that count as first attempts.
+func TestSpan(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent)
+	m.request(1, 2500*time.Millisecond)
+	for _, c := range []struct {
+		left    time.Duration
+		refused bool
+	}{{2200 * time.Millisecond, false}, {1700 * time.Millisecond, true}} {
+		m.request(reducer.RequestID(c.left), c.left)
+		_, refused := find[reducer.Refuse](m)
+		is.Equal(refused, c.refused)
+	}
+}
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -103,7 +103,7 @@
 func (s *service) same(c *patcher.Service) bool {
 	have := s.config
 	return have.Name == c.Name && have.MeasuringBudget == c.MeasuringBudget && have.MaxEntries == c.MaxEntries &&
-		have.HealthPath == c.HealthPath && slices.Equal(have.Ranks, c.Ranks) && slices.Equal(have.Upstreams, c.Upstreams)
+		have.ProbePath == c.ProbePath && slices.Equal(have.Ranks, c.Ranks) && slices.Equal(have.Upstreams, c.Upstreams)
 }
 
 // hostsChanged passes on which upstreams the platform's host list names as leaving.
--- a/internal/registrar/registrar.go
+++ b/internal/registrar/registrar.go
@@ -24,8 +24,8 @@
 
 // Service is a service as the operator describes it; its upstreams register themselves.
 type Service struct {
-	Name       string
-	HealthPath string
+	Name      string
+	ProbePath string
 	// Connections is the number of connections that each upstream accepts.
 	Connections int
 }
@@ -233,7 +233,7 @@
 	upstreams := g.upstreams()
 	for _, s := range g.document.Services {
 		c.Services = append(c.Services, patcher.Service{
-			Name: s.Name, Ranks: ranks[s.Name], Upstreams: upstreams[s.Name], HealthPath: s.HealthPath,
+			Name: s.Name, Ranks: ranks[s.Name], Upstreams: upstreams[s.Name], ProbePath: s.ProbePath,
 		})
 	}
 	slices.SortFunc(c.Services, func(a, b patcher.Service) int { return cmp.Compare(a.Name, b.Name) })
--- a/internal/registrar/registrar_test.go
+++ b/internal/registrar/registrar_test.go
@@ -22,7 +22,7 @@
 func document(version uint64) Document {
 	return Document{
 		Version:  version,
-		Services: []Service{{Name: "tickets", HealthPath: "/h", Connections: 10}, {Name: "labs"}},
+		Services: []Service{{Name: "tickets", ProbePath: "/h", Connections: 10}, {Name: "labs"}},
 		Routes: []router.Route{
 			{Name: "r1", Rank: patcher.Rank{Name: "a"}, Shares: []router.Share{{Service: "tickets", Weight: 1}}},
 			{Name: "r2", Rank: patcher.Rank{Name: "a"}, Shares: []router.Share{{Service: "tickets", Weight: 1}, {Service: "labs", Weight: 1}}},
@@ -57,7 +57,7 @@
 	is.True(ok)
 	is.Equal(c.Version, uint64(3))
 	s, _ := c.Service("tickets")
-	is.Equal(s.HealthPath, "/h")
+	is.Equal(s.ProbePath, "/h")
 	is.Equal(len(s.Ranks), 1) // routes of one rank share it
 	is.Equal(s.Upstreams, []patcher.Upstream{{Name: "u1", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4, Connections: 10, Born: 1}})
 	_, ok = g.Config()
--- a/pkg/patcher/config.go
+++ b/pkg/patcher/config.go
@@ -22,8 +22,8 @@
 	MaxEntries int
 	Ranks      []Rank
 	Upstreams  []Upstream
-	// HealthPath is where an upstream answers probes; empty means the entry's own.
-	HealthPath string `json:",omitempty"`
+	// ProbePath is where an upstream answers probes; empty means the entry's own.
+	ProbePath string `json:",omitempty"`
 }
 
 // Kind says whether a request may run more than once.
