--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -189,6 +189,7 @@
 			best, cost = u, c
 		}
 	}
+	p.considerWarm(now, consider)
 	n := len(p.upstreams)
 	start, step := p.random.IntN(n), p.strides[p.random.IntN(len(p.strides))]
 	for i := range min(n, maxLooks) {
@@ -197,7 +198,6 @@
 		}
 		consider(p.upstreams[(start+i*step)%n])
 	}
-	p.considerWarm(now, consider)
 	if p.freed != nil {
 		consider(p.freed)
 	}
--- a/internal/balancer/warm.go
+++ b/internal/balancer/warm.go
@@ -12,8 +12,9 @@
 	// connection. The set of upstreams in use then grows no further than the
 	// requests in flight ask for.
 	coldCost = 1.25
-	// warmCandidates is the number of upstreams in use that are compared.
-	warmCandidates = 4
+	// warmCandidates is the number of upstreams in use that are compared, instead
+	// of as many of all.
+	warmCandidates = candidates - 1
 )
 
 // warmth is what a pool knows of connections that are likely open.
--- a/internal/commander/demo_system.go
+++ b/internal/commander/demo_system.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,20 +54,37 @@
 	return srv, netip.MustParseAddrPort(srv.listener.Addr().String()), nil
 }
 
-// freePorts returns free addresses; they are all held until the last is found, so that none comes twice.
+// Ports are taken from below the range from which the system gives ports to
+// outgoing connections, which would otherwise take some in between.
+const (
+	firstPort = 12_000
+	lastPort  = 32_000
+)
+
+// freePorts returns addresses on the loopback interface that nobody listens on; all
+// are held until the last is found, so that none comes twice.
 func freePorts(n int) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	for range n {
-		l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", loopback.String())
+	var err error
+	for tries := 0; len(list) < n && tries < maxPortTries; tries++ {
+		at := netip.AddrPortFrom(loopback.Addr(), uint16(firstPort+rand.IntN(lastPort-firstPort)))
+		var l net.Listener
+		l, err = (&net.ListenConfig{}).Listen(context.Background(), "tcp", at.String())
 		if err != nil {
-			return nil, err
+			continue
 		}
 		defer func() { _ = l.Close() }()
-		list = append(list, netip.MustParseAddrPort(l.Addr().String()))
+		list = append(list, at)
+	}
+	if len(list) < n {
+		return nil, err
 	}
 	return list, nil
 }
 
+// maxPortTries bounds the ports that are tried.
+const maxPortTries = 1000
+
 // maxStarts bounds the attempts to start on free ports, which another process may take in between.
 const maxStarts = 3
 
--- a/internal/commander/metrics_test.go
+++ b/internal/commander/metrics_test.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/azuretrestle/azuretrestle/pkg/caller"
+	"github.com/azuretrestle/azuretrestle/platform"
 )
 
 var (
@@ -61,6 +63,11 @@
 		time.Sleep(50 * time.Millisecond)
 		names = metricsOf(t, settings.Administration)
 	}
+	for _, c := range newPlatformLog(io.Discard, &platform.Settings{}).collectors() {
+		described := make(chan *prometheus.Desc, 1)
+		c.Describe(described)
+		names[metricName.FindString((<-described).String())] = true
+	}
 	documented := make(map[string]bool)
 	for _, page := range []string{"OPERATIONS.md", "ADMIN.md"} {
 		text, err := os.ReadFile(filepath.Join("..", "..", "docs", page))
--- a/internal/driver/explain.go
+++ b/internal/driver/explain.go
@@ -19,6 +19,7 @@
 	upstream string
 	begunAt  time.Time
 	endedAt  time.Time
+	deadline time.Time
 	known    balancer.Condition
 	result   string
 	status   int
@@ -27,11 +28,15 @@
 }
 
 func newTrace(e reducer.Dispatch) attemptTrace {
-	return attemptTrace{upstream: e.Upstream, begunAt: time.Now(), known: e.Known, result: "Open", sent: true}
+	return attemptTrace{upstream: e.Upstream, begunAt: time.Now(), deadline: e.Deadline, known: e.Known, result: "Open", sent: true}
 }
 
+// end notes how an attempt ended. One that is cancelled at its deadline has timed out.
 func (t *attemptTrace) end(result string, sent bool) {
 	t.endedAt = time.Now()
+	if !t.endedAt.Before(t.deadline) {
+		result = results[balancer.FailureTimeout]
+	}
 	t.result = result
 	t.sent = sent
 }
