Close the logs of tests

Cause: TestAdministrationTLS found a goroutine of a log that TestMetricsOnPages had left open, once beside other load.

Change: the test closes its log, and those of whole entries wait for the end of what they started.

--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -100,7 +100,9 @@
 	}
 	e.driver.Register(log.collectors()...)
 	signals, ended := make(chan os.Signal, 1), make(chan error, 1)
+	finished := make(chan struct{})
 	go func() {
+		defer close(finished)
 		ended <- e.run(signals, "")
 		log.writer.close()
 	}()
@@ -113,6 +115,7 @@
 		for _, srv := range e.servers {
 			srv.close()
 		}
+		<-finished
 	})
 	d.wait("entry ready", func() bool { return d.get("http://"+s.Readiness.String()+"/-/readyz") == http.StatusOK })
 }
--- a/internal/commander/metrics_test.go
+++ b/internal/commander/metrics_test.go
@@ -63,7 +63,9 @@
 		time.Sleep(50 * time.Millisecond)
 		names = metricsOf(t, settings.Administration)
 	}
-	for _, c := range newPlatformLog(io.Discard, &platform.Settings{}).collectors() {
+	log := newPlatformLog(io.Discard, &platform.Settings{})
+	defer log.writer.close()
+	for _, c := range log.collectors() {
 		described := make(chan *prometheus.Desc, 1)
 		c.Describe(described)
 		names[metricName.FindString((<-described).String())] = true
