Allow the truthful answer that may precede a second stop's end

The attempt ends with the driver, and its reply reaches the caller before the connection is closed. That answer is true.

Change: the test takes a broken connection or exactly that answer. Any other status or outcome fails, and the time bound stays.

--- a/internal/driver/failure_test.go
+++ b/internal/driver/failure_test.go
@@ -17,6 +17,7 @@
 	"github.com/azuretrestle/azuretrestle/internal/faker"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/internal/versioner"
+	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
 // TestCallerHangsUp guards against work that goes on for a caller who left,
@@ -220,7 +221,8 @@
 	b.is.True(err != nil)
 }
 
-// TestSecondStop guards against a second stop request that waits for requests in progress.
+// TestSecondStop guards against a second stop request that waits for requests
+// in progress, and against an answer that claims more than is known of them.
 func TestSecondStop(t *testing.T) {
 	b := newBench(t, 1, (&stopper{}).watch)
 	b.upstreams[0].Mean = time.Hour
@@ -231,5 +233,7 @@
 	begun := time.Now()
 	b.driver.Stop()
 	b.is.True(time.Since(begun) < time.Second)
-	b.is.True((<-ended).err != nil)
+	// The caller may still be told that the request may have run.
+	got := <-ended
+	b.is.True(got.err != nil || got.status == http.StatusBadGateway && got.outcome == classifier.OutcomeUnknown)
 }
