Add a soak that faults real processes from outside

Nothing ran the built program as separate processes and disturbed it by signals, links, the store and upstreams in overlapping series.

Change: cmd/soak and internal/soaker. The plan follows from a seed; proxies on loopback addresses delay, reset, hold back and silence connections; processes are stopped, paused, killed and reloaded by signals; the store fails, forgets and lets registrations lapse; upstreams fail, drain, crash and hand their address to another service. Twelve checks look at what callers and upstreams saw; each is shown to fail on a broken trace. The stand-ins of the platform gained faults, a client side and a settings file.

--- /dev/null
+++ b/cmd/soak/doc.go
@@ -0,0 +1,3 @@
+// Command soak runs entries as separate processes on this host, injects faults
+// from outside them and checks what callers and upstreams see.
+package main
--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -314,14 +314,14 @@
 func TestEntryOutage(t *testing.T) {
 	is := is.New(t)
 	d := deploy(t, 1)
-	d.store.SetDown(true)
+	d.store.SetFault(faker.StoreRefuses)
 	calls := d.store.Calls()
 	d.wait("store missed", func() bool { return d.store.Calls() > calls+3 })
 	status, _, _ := d.send(0, http.MethodGet, "/read/x", "o1")
 	is.Equal(status, http.StatusOK)
 	d.configure(2, "other")
 	d.store.Expire()
-	d.store.SetDown(false)
+	d.store.SetFault(faker.StoreServes)
 	d.wait("new version", func() bool {
 		_, body, _ := d.send(0, http.MethodGet, "/read/x", "o2")
 		return strings.HasPrefix(body, "i-2")
--- /dev/null
+++ b/internal/soaker/report.go
@@ -0,0 +1,56 @@
+package soaker
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// Report is what a run showed.
+type Report struct {
+	Violations []Violation
+	// Outcomes counts the requests by status; "none" had no answer, "left" were given up.
+	Outcomes map[string]int
+	Requests int
+	Runs     int
+	Faults   int
+	Versions int
+	begun    time.Time
+}
+
+func newReport(t *Trace, steps []Step) *Report {
+	r := &Report{
+		Violations: Check(t), Outcomes: make(map[string]int), Requests: len(t.Requests), Runs: len(t.Runs),
+		Faults: len(steps), Versions: len(t.Versions), begun: t.Begun,
+	}
+	for _, q := range t.Requests {
+		r.Outcomes[q.outcome()]++
+	}
+	return r
+}
+
+func (r Request) outcome() string {
+	switch {
+	case r.GaveUp:
+		return "left"
+	case r.Status == 0:
+		return "none"
+	default:
+		return strconv.Itoa(r.Status)
+	}
+}
+
+// Write prints the report as text.
+func (r *Report) Write(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "%d requests, %d runs, %d faults, %d versions; by outcome:", r.Requests, r.Runs, r.Faults, r.Versions)
+	for _, name := range slices.Sorted(maps.Keys(r.Outcomes)) {
+		_, _ = fmt.Fprintf(w, " %s %d", name, r.Outcomes[name])
+	}
+	_, _ = fmt.Fprintln(w)
+	for _, v := range r.Violations {
+		_, _ = fmt.Fprintf(w, "BROKEN %s at %.3f: %s\n", v.Promise, v.At.Sub(r.begun).Seconds(), v.Detail)
+	}
+}
