--- /dev/null
+++ b/internal/dialer/unacknowledged_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package dialer
+
+import (
+	"net"
+	"time"
+)
+
+// EndUnacknowledged does nothing where the system knows no such bound.
+func EndUnacknowledged(*net.Dialer, time.Duration) {}
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -233,6 +233,8 @@
 		d.closeIdle(e)
 	case reducer.Send:
 		d.peers.Send(e)
+	case reducer.Disconnect:
+		d.peers.Disconnect(e.Peer)
 	case reducer.ReadLog:
 		d.spawn(func() { d.readLog(e) })
 	case reducer.Append:
--- a/internal/messenger/messenger.go
+++ b/internal/messenger/messenger.go
@@ -137,6 +137,16 @@
 	}
 }
 
+// Disconnect makes the next message to a peer use a new connection, since the
+// one there is may have gone silent.
+func (m *Messenger) Disconnect(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if p, ok := m.peers[name]; ok {
+		p.abandon()
+	}
+}
+
 // Stats returns the current counts.
 func (m *Messenger) Stats() Stats {
 	m.mu.Lock()
--- a/internal/messenger/messenger_test.go
+++ b/internal/messenger/messenger_test.go
@@ -116,6 +116,31 @@
 	is.Equal(next(t, in.unreachable), "c")
 }
 
+// TestDisconnect guards against messages that go on over a connection which was given up.
+func TestDisconnect(t *testing.T) {
+	is := is.New(t)
+	a, _, _ := start(t, "a", 1, nil)
+	lis, address := listen(t)
+	accepted := make(chan net.Conn, 2)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			accepted <- c
+		}
+	}()
+	a.Send(reducer.Send{To: "b", Address: address, Message: request(1)})
+	silent := next(t, accepted)
+	defer func() { _ = silent.Close() }()
+	time.Sleep(redialAfter)
+	a.Disconnect("b")
+	a.Disconnect("unknown")
+	a.Send(reducer.Send{To: "b", Address: address, Message: request(2)})
+	is.NoErr(next(t, accepted).Close())
+}
+
 // TestIdle guards against connections kept to peers that nothing is sent to,
 // and against a message that is lost or reported as the connection closes.
 func TestIdle(t *testing.T) {
--- a/internal/messenger/peer.go
+++ b/internal/messenger/peer.go
@@ -12,6 +12,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 
+	"github.com/azuretrestle/azuretrestle/internal/dialer"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 )
 
@@ -24,6 +25,8 @@
 	// redialAfter spares a dead peer a dial for each message.
 	redialAfter = 50 * time.Millisecond
 	idleAfter   = 30 * time.Second
+	// ackPatience ends a connection on which what was sent does not arrive.
+	ackPatience = 1500 * time.Millisecond
 )
 
 // peer is another entry that messages are sent to.
@@ -34,6 +37,8 @@
 
 	mu    sync.Mutex
 	queue []reducer.Send
+	// stale is set if the next message needs a new connection.
+	stale bool
 
 	// The fields below belong to run.
 	conn    *drpcconn.Conn
@@ -57,6 +62,21 @@
 	return !full
 }
 
+// abandon makes the next message use a new connection.
+func (p *peer) abandon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stale = true
+}
+
+func (p *peer) takeStale() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	stale := p.stale
+	p.stale = false
+	return stale
+}
+
 // take removes the longest run of queued messages that share an address and an incarnation.
 func (p *peer) take() []reducer.Send {
 	p.mu.Lock()
@@ -183,6 +203,9 @@
 }
 
 func (p *peer) connect(address netip.AddrPort) error {
+	if p.takeStale() {
+		p.disconnect()
+	}
 	if p.stream != nil && p.address == address && p.stream.Context().Err() == nil {
 		return nil
 	}
@@ -204,11 +227,12 @@
 func (p *peer) dial(address netip.AddrPort) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(p.messenger.ctx, dialPatience)
 	defer cancel()
+	var d net.Dialer
+	dialer.EndUnacknowledged(&d, ackPatience)
 	if certs := p.messenger.Certificates; certs != nil {
-		d := tls.Dialer{Config: certs.client(p.name)}
-		return d.DialContext(ctx, "tcp", address.String())
+		secure := tls.Dialer{NetDialer: &d, Config: certs.client(p.name)}
+		return secure.DialContext(ctx, "tcp", address.String())
 	}
-	var d net.Dialer
 	return d.DialContext(ctx, "tcp", address.String())
 }
 
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -87,6 +87,9 @@
 	Message     PeerMessage
 }
 
+// Disconnect ends the connection to another entry that has fallen silent.
+type Disconnect struct{ Peer string }
+
 // ReadLog reads a stream from an offset.
 type ReadLog struct {
 	Stream   string
@@ -164,6 +167,7 @@
 func (Probe) effect()         {}
 func (CloseIdle) effect()     {}
 func (Send) effect()          {}
+func (Disconnect) effect()    {}
 func (ReadLog) effect()       {}
 func (Append) effect()        {}
 func (ListHosts) effect()     {}
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -40,6 +40,8 @@
 	leastLapse = 800 * time.Millisecond
 	// retryInterval is the pause after a failed read; a random part of it is added.
 	retryInterval = 300 * time.Millisecond
+	// firstRetryShare is the reciprocal share of the random part that passes after the first failure.
+	firstRetryShare = 3
 	// retryDelay is added to the pause per entry that comes before this one, for at most maxRetryTurns.
 	retryDelay    = 150 * time.Millisecond
 	maxRetryTurns = 10
@@ -251,12 +253,11 @@
 		return
 	}
 	r.triedAt = r.begunAt
+	pause := n.retryPause(r)
 	if r.failedAt.IsZero() {
 		r.failedAt = n.now
 		n.audit(auditor.Entry{Actor: n.Name, Action: "StoreLost", Subject: ev.Topic.String(), Cause: ev.Problem, Version: n.Config().Version})
 	}
-	// Entries that come later wait longer: the first ones notice the end of an outage for all.
-	pause := retryInterval + time.Duration(n.random.Int64N(int64(retryInterval))) + retryDelay*time.Duration(min(n.turn(), maxRetryTurns))
 	n.after(n.now.Add(pause), func() {
 		switch {
 		case ev.ID != r.id:
@@ -268,6 +269,17 @@
 	})
 }
 
+// retryPause is the pause after a failed read. The first failure may be one of
+// the connection alone, so that the read is soon repeated. Later on entries that
+// come later wait longer: the first ones notice the end of an outage for all.
+func (n *Node) retryPause(r *reading) time.Duration {
+	random := time.Duration(n.random.Int64N(int64(retryInterval)))
+	if r.failedAt.IsZero() {
+		return random / firstRetryShare
+	}
+	return retryInterval + random + retryDelay*time.Duration(min(n.turn(), maxRetryTurns))
+}
+
 // readNewer reads the document again because a peer has a newer version, which
 // the read in progress should have brought.
 func (n *Node) readNewer() {
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/azuretrestle/azuretrestle/internal/gossiper"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
 )
@@ -201,3 +202,34 @@
 	_, probed := find[reducer.Probe](m)
 	is.True(!dispatched && !probed)
 }
+
+// TestFirstRetry guards against a long wait after the failure of a single read,
+// which may only have met a connection that went silent.
+func TestFirstRetry(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	m.advance(time.Second)
+	failed := m.reads[reducer.TopicDocument].ID
+	m.fail(reducer.TopicDocument, false)
+	m.advance(150 * time.Millisecond)
+	second := m.reads[reducer.TopicDocument].ID
+	is.True(second != failed)
+	m.fail(reducer.TopicDocument, false)
+	m.advance(250 * time.Millisecond)
+	is.Equal(m.reads[reducer.TopicDocument].ID, second) // the store is away
+}
+
+// TestSilentPeer guards against entries that never hear of each other again
+// because the connections between them went silent.
+func TestSilentPeer(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	m.join("e0", 1)
+	m.peer = nil
+	m.advance(gossiper.SuspicionPeriod)
+	is.Equal(len(m.disconnected), 0)
+	m.advance(10 * time.Second)
+	is.Equal(m.disconnected, []string{"e0"}) // once for each silence
+}
--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -24,6 +24,8 @@
 	reads map[reducer.Topic]reducer.ReadStore
 	// sent holds all messages to peers.
 	sent []reducer.Send
+	// disconnected names the peers whose connections were ended.
+	disconnected []string
 	// effects are those of the last step.
 	effects []reducer.Effect
 	timer   time.Time
@@ -47,6 +49,8 @@
 			m.reads[e.Topic] = e
 		case reducer.SetTimer:
 			m.timer = e.Deadline
+		case reducer.Disconnect:
+			m.disconnected = append(m.disconnected, e.Peer)
 		case reducer.Send:
 			m.sent = append(m.sent, e)
 			m.reply(e)
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -35,6 +35,8 @@
 	listed int
 	// silent holds the incarnations whose silence was reported.
 	silent map[string]uint64
+	// disconnected holds when entries were last heard before their connection was ended.
+	disconnected map[string]time.Time
 }
 
 // gossip starts the next exchange.
@@ -47,6 +49,7 @@
 	n.after(m.nextAt, n.gossip)
 	n.view.Forget(n.now)
 	n.refresh()
+	n.disconnectSilent()
 	for _, t := range n.view.Next(n.now, n.random) {
 		n.ask(t)
 	}
@@ -210,6 +213,19 @@
 	}
 }
 
+// disconnectSilent ends the connections to entries that fell silent, once for
+// each silence. The entry may live and only the connection be silent.
+func (n *Node) disconnectSilent() {
+	for e := range n.view.All() {
+		last := n.members.disconnected[e.Name]
+		if e.Name == n.Name || e.HeardAt.IsZero() || !e.Suspected(n.now) || last.Equal(e.HeardAt) {
+			continue
+		}
+		n.members.disconnected[e.Name] = e.HeardAt
+		n.emit(Disconnect{Peer: e.Name})
+	}
+}
+
 // reportSilent puts entries that fell silent, and those that came back, onto the audit trail.
 func (n *Node) reportSilent() {
 	before := n.now.Add(-silencePeriod)
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -65,7 +65,7 @@
 		requests: make(map[RequestID]*request),
 		once:     newOnceOnly(o),
 		config:   configuration{log: versioner.NewLog(), patches: make(map[string]*submission)},
-		members:  membership{silent: make(map[string]uint64)},
+		members:  membership{silent: make(map[string]uint64), disconnected: make(map[string]time.Time)},
 		follow:   newFollowing(),
 	}
 }
