Let an entry come back under an earlier incarnation

Cause: incarnations come from the time of day.

Change: a managed entry, where nothing but the order of messages depends on incarnations, takes an earlier one of a peer that was silent for 6 s, longer than any digest holds rows of the later one.

--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -248,7 +248,8 @@
 
 func (v *View) learn(now time.Time, p Profile) {
 	have := v.get(p.Name)
-	if p.Name == v.self || p.Incarnation == 0 || have != nil && have.Incarnation >= p.Incarnation {
+	same := have != nil && have.Incarnation == p.Incarnation
+	if p.Name == v.self || p.Incarnation == 0 || same || v.Outdated(now, p.Name, p.Incarnation) {
 		return
 	}
 	e := Entry{
@@ -259,7 +260,7 @@
 		e.Listed = have.Listed
 		e.ListedLeaving = have.ListedLeaving
 	}
-	v.Put(e)
+	v.replace(e)
 }
 
 func (v *View) takeRow(now, base time.Time, top uint64, r Row) {
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -35,6 +35,10 @@
 const (
 	// SuspicionPeriod is how long an entry may be silent before it is suspected.
 	SuspicionPeriod = 2 * time.Second
+	// RenewPeriod is the silence after which an entry may come back under an earlier
+	// incarnation, where that is allowed: the time of day of its host may have been
+	// set back before it started. No digest holds older rows of the later incarnation.
+	RenewPeriod = 6 * time.Second
 	// forgetPeriod is how long an entry that is silent or has stopped stays known.
 	forgetPeriod = 10 * time.Minute
 )
@@ -102,6 +106,8 @@
 	peersKnow int
 	// listRead is set once a host list was read.
 	listRead bool
+	// renewable is set if silent entries may come back under an earlier incarnation.
+	renewable bool
 }
 
 // NewView returns a view that holds only the entry itself.
@@ -116,6 +122,22 @@
 	return v
 }
 
+// AllowEarlier lets entries come back under an earlier incarnation after
+// RenewPeriod. Nothing but the order of messages may depend on incarnations then.
+func (v *View) AllowEarlier() { v.renewable = true }
+
+// Outdated reports whether a later incarnation of an entry is known, which the
+// given one does not replace.
+func (v *View) Outdated(now time.Time, name string, incarnation uint64) bool {
+	e := v.get(name)
+	return e != nil && e.Incarnation > incarnation && !(v.renewable && e.silentFor(now, RenewPeriod))
+}
+
+// silentFor reports whether nothing was heard of an incarnation for a time.
+func (e *Entry) silentFor(now time.Time, d time.Duration) bool {
+	return now.Sub(e.HeardAt) > d && now.Sub(e.KnownAt) > d
+}
+
 // Begin notes when this incarnation started.
 func (v *View) Begin(now time.Time) { v.get(v.self).KnownAt = now }
 
@@ -168,12 +190,18 @@
 	if have != nil && *have == e {
 		return false
 	}
+	v.replace(e)
+	return true
+}
+
+// replace takes over a row in any case.
+func (v *View) replace(e Entry) {
+	have := v.get(e.Name)
 	if have == nil || have.Incarnation != e.Incarnation || have.State != e.State {
 		v.changes = append(v.changes, Change{Name: e.Name, Incarnation: e.Incarnation, State: e.State})
 	}
 	v.top = max(v.top, e.Version)
 	v.insert(e)
-	return true
 }
 
 // Changes returns the changes since the last call.
--- a/internal/gossiper/view_test.go
+++ b/internal/gossiper/view_test.go
@@ -99,3 +99,36 @@
 	v.Update(now, Stopped, 1, 0, false)
 	is.True(v.Majority(now).At.IsZero())
 }
+
+// TestEarlierIncarnation guards against an entry that stays unknown for good
+// because the time of day of its host was set back before it started again.
+func TestEarlierIncarnation(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		allowed bool
+		silence time.Duration
+		want    uint64
+	}{
+		{"allowed", true, RenewPeriod + 1, 4},
+		{"heard a moment ago", true, RenewPeriod, 5},
+		{"not allowed", false, time.Minute, 5},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			v := NewView(Entry{Name: "a", Incarnation: 1, State: Alive})
+			if tt.allowed {
+				v.AllowEarlier()
+			}
+			now := start.Add(time.Minute)
+			heard := now.Add(-tt.silence)
+			v.Put(Entry{Name: "b", Incarnation: 5, State: Stopped, HeardAt: heard, KnownAt: heard})
+			is.Equal(v.Outdated(now, "b", 4), tt.want == 5)
+			v.Take(now, Exchange{Profile: Profile{Name: "b", Incarnation: 4}})
+			b, _ := v.Find("b")
+			is.Equal(b.Incarnation, tt.want)
+			v.Take(now, Exchange{Profile: Profile{Name: "b", Incarnation: 6}})
+			b, _ = v.Find("b")
+			is.Equal(b.Incarnation, uint64(6))
+		})
+	}
+}
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -57,9 +57,13 @@
 		Name: o.Name, Incarnation: o.Incarnation, PeerAddress: o.PeerAddress,
 		CallerAddress: o.CallerAddress, DataCentre: o.DataCentre,
 	}
+	view := gossiper.NewView(self, o.Peers...)
+	if o.Managed != nil {
+		view.AllowEarlier()
+	}
 	return &Node{
 		Options:  o,
-		view:     gossiper.NewView(self, o.Peers...),
+		view:     view,
 		random:   rand.New(rand.NewPCG(o.Seed, o.Incarnation)),
 		services: make(map[string]*service),
 		requests: make(map[RequestID]*request),
--- a/internal/reducer/peer.go
+++ b/internal/reducer/peer.go
@@ -27,7 +27,7 @@
 	if ev.From == n.Name {
 		return
 	}
-	if e, ok := n.view.Find(ev.From); ok && e.Incarnation > ev.FromIncarnation {
+	if n.view.Outdated(n.now, ev.From, ev.FromIncarnation) {
 		return
 	}
 	switch m := ev.Message.(type) {
