Take settings that change without a signal

Cause: the settings file was read again on SIGHUP only, and only the bounds on repeats were taken from it. The file may change without a signal, and the rate of probes, the grace or the store's address stayed as they were at the start.

Change: an entry looks at its settings file once a second. Bounds, grace and the store's address take effect at once; a faulty file changes nothing.

--- a/internal/commander/entry.go
+++ b/internal/commander/entry.go
@@ -30,6 +30,9 @@
 	bodyShare = 4
 	// heapShare is the share of the memory from which the collector works harder.
 	heapShare = 0.6
+	// settingsInterval is the time between two looks at the settings file, which may
+	// change without a signal.
+	settingsInterval = time.Second
 	// platformCollector trades memory, which is priced, against processor time.
 	platformCollector = 100
 )
@@ -100,15 +103,21 @@
 
 func (p *platformEntry) options() reducer.Options {
 	s := p.settings
-	period := answerPeriod
-	if s.MaxAnswer > 0 {
-		period = min(period, s.MaxAnswer)
-	}
+	m := managed(s)
 	return reducer.Options{
 		Name: s.Name, Incarnation: newIncarnation(time.Now()), PeerAddress: s.Peers, Peers: s.Seeds,
 		CallerAddress: s.Callers, DataCentre: s.DataCentre, Seed: rand.Uint64(),
-		Managed: &reducer.Managed{AnswerPeriod: period, RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack, ProbeRate: s.ProbeRate},
+		Managed: &m,
+	}
+}
+
+// managed returns the bounds that the settings name.
+func managed(s *platform.Settings) reducer.Managed {
+	period := answerPeriod
+	if s.MaxAnswer > 0 {
+		period = min(period, s.MaxAnswer)
 	}
+	return reducer.Managed{AnswerPeriod: period, RepeatRatio: s.RepeatRatio, RepeatSlack: s.RepeatSlack, ProbeRate: s.ProbeRate}
 }
 
 // listen opens the listeners beside that of the callers.
@@ -137,11 +146,21 @@
 }
 
 // run waits for a signal to stop and ends the entry within the platform's grace.
+// It reads the settings again on SIGHUP and once their file has changed.
 func (p *platformEntry) run(signals <-chan os.Signal, path string) error {
+	changes := time.NewTicker(settingsInterval)
+	defer changes.Stop()
+	seen := stateOf(path)
 	for {
 		select {
+		case <-changes.C:
+			if now := stateOf(path); now != seen {
+				seen = now
+				p.reload(path)
+			}
 		case sig := <-signals:
 			if sig == syscall.SIGHUP {
+				seen = stateOf(path)
 				p.reload(path)
 				continue
 			}
@@ -153,15 +172,34 @@
 	}
 }
 
-// reload reads the settings again; what differs takes effect with the next start.
+// fileState tells versions of a file apart.
+type fileState struct {
+	modified time.Time
+	size     int64
+}
+
+// stateOf returns the state of a file, zero if there is none.
+func stateOf(path string) fileState {
+	info, err := os.Stat(path)
+	if err != nil {
+		return fileState{}
+	}
+	return fileState{info.ModTime(), info.Size()}
+}
+
+// reload reads the settings again. Bounds, the grace and the store's address take
+// effect at once; other addresses and names do with the next start.
 func (p *platformEntry) reload(path string) {
 	s, err := platform.LoadSettings(path)
 	if err != nil {
 		p.logger.Error("settings not reloaded, the last ones stay in force", zap.NamedError("Error", err))
 		return
 	}
-	p.driver.SetRepeats(s.RepeatRatio, s.RepeatSlack)
-	p.logger.Info("settings reloaded")
+	p.driver.SetManaged(managed(s))
+	p.store.SetAddress(s.Store)
+	p.settings.Grace = s.Grace
+	p.logger.Info("settings reloaded", zap.Stringer("Store", s.Store), zap.Duration("Grace", s.Grace),
+		zap.Float64("RepeatRatio", s.RepeatRatio), zap.Float64("RepeatSlack", s.RepeatSlack), zap.Float64("ProbeRate", s.ProbeRate))
 }
 
 func (p *platformEntry) stop() error {
--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"syscall"
@@ -29,7 +30,9 @@
 
 // deployed is a small deployment on the platform: a store, servers and entries.
 type deployed struct {
-	t       *testing.T
+	t *testing.T
+	// folder holds the settings files.
+	folder  string
 	store   *faker.Store
 	servers []*faker.Server
 	entries []*platformEntry
@@ -60,7 +63,7 @@
 
 func deploy(t *testing.T, entries int) *deployed {
 	t.Helper()
-	d := &deployed{t: t, store: &faker.Store{}, client: &http.Client{Transport: &http.Transport{}}}
+	d := &deployed{t: t, folder: t.TempDir(), store: &faker.Store{}, client: &http.Client{Transport: &http.Transport{}}}
 	t.Cleanup(d.client.CloseIdleConnections)
 	store := httptest.NewServer(d.store)
 	t.Cleanup(store.Close)
@@ -94,6 +97,7 @@
 func (d *deployed) start(s *platform.Settings) {
 	d.t.Helper()
 	log := newPlatformLog(&d.logs, s)
+	path := d.settle(s)
 	e, err := newPlatformEntry(s, log.Logger)
 	if err != nil {
 		d.t.Fatal(err)
@@ -103,7 +107,7 @@
 	finished := make(chan struct{})
 	go func() {
 		defer close(finished)
-		ended <- e.run(signals, "")
+		ended <- e.run(signals, path)
 		log.writer.close()
 	}()
 	d.entries = append(d.entries, e)
@@ -120,6 +124,20 @@
 	d.wait("entry ready", func() bool { return d.get("http://"+s.Readiness.String()+"/-/readyz") == http.StatusOK })
 }
 
+// settle writes the settings file of an entry and returns its path.
+func (d *deployed) settle(s *platform.Settings) string {
+	d.t.Helper()
+	b, err := faker.SettingsFile(s)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	path := filepath.Join(d.folder, s.Name+".toml")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		d.t.Fatal(err)
+	}
+	return path
+}
+
 func (d *deployed) configure(version int, service string) {
 	d.store.Put(faker.TopicOperator, "config", faker.Document(version, service))
 }
@@ -327,3 +345,25 @@
 		return strings.HasPrefix(body, "i-2")
 	})
 }
+
+// TestEntryReloads guards against settings that change without a signal and are
+// not taken up, and against a faulty file that takes the last good ones away.
+func TestEntryReloads(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 1)
+	s := *d.entries[0].settings
+	other := &faker.Store{}
+	moved := httptest.NewServer(other)
+	t.Cleanup(moved.Close)
+	other.Put(faker.TopicOperator, "config", faker.Document(1, "tickets"))
+	other.Put(faker.TopicOperator, "config", faker.Document(2, "other"))
+	is.NoErr(os.WriteFile(filepath.Join(d.folder, s.Name+".toml"), []byte("cut sho"), 0o600))
+	d.wait("faulty settings", func() bool { return strings.Contains(d.logs.String(), "settings not reloaded") })
+	status, _, _ := d.send(0, http.MethodGet, "/read/x", "r0")
+	is.Equal(status, http.StatusOK)
+	s.Store = netip.MustParseAddrPort(moved.Listener.Addr().String())
+	s.RepeatSlack = 7
+	d.settle(&s)
+	d.wait("settings", func() bool { return strings.Contains(d.logs.String(), `"RepeatSlack":7`) })
+	d.wait("version of the other store", func() bool { return strings.Contains(d.logs.String(), `"Version":2`) })
+}
--- a/internal/driver/follow.go
+++ b/internal/driver/follow.go
@@ -127,11 +127,11 @@
 	return open
 }
 
-// SetRepeats changes how many requests all entries together may send once more.
-func (d *Driver) SetRepeats(ratio, slack float64) {
+// SetManaged changes the bounds of a managed entry.
+func (d *Driver) SetManaged(m reducer.Managed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.node.SetRepeats(ratio, slack)
+	d.node.SetManaged(m)
 }
 
 // Ready reports whether new callers may use the entry.
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -387,10 +387,10 @@
 	}
 }
 
-// SetRepeats changes the bounds on repeats; what was saved up stays within them.
-func (n *Node) SetRepeats(ratio, slack float64) {
-	n.Managed.RepeatRatio = ratio
-	n.Managed.RepeatSlack = slack
+// SetManaged changes the bounds of a managed node; what was saved up for repeats
+// stays within them.
+func (n *Node) SetManaged(m Managed) {
+	n.Managed = &m
 	n.shareSlack()
 }
 
