--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -130,7 +130,7 @@
 // given one does not replace.
 func (v *View) Outdated(now time.Time, name string, incarnation uint64) bool {
 	e := v.get(name)
-	return e != nil && e.Incarnation > incarnation && !(v.renewable && e.silentFor(now, RenewPeriod))
+	return e != nil && e.Incarnation > incarnation && (!v.renewable || !e.silentFor(now, RenewPeriod))
 }
 
 // silentFor reports whether nothing was heard of an incarnation for a time.
