--- a/internal/commander/check.go
+++ b/internal/commander/check.go
@@ -1,13 +1,16 @@
 package commander
 
 import (
+	"strings"
+
 	"github.com/azuretrestle/azuretrestle/internal/parser"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 	"github.com/azuretrestle/azuretrestle/pkg/patcher"
+	"github.com/azuretrestle/azuretrestle/platform"
 )
 
 func check(e *environment, args []string) int {
-	f := e.flagSet("check", "[settings file ...]", "Reads settings files and a patch file and prints all problems. It contacts nobody.")
+	f := e.flagSet("check", "[settings file ...]", "Reads settings files and a patch file and prints all problems. It contacts nobody.\nFiles that end with "+platformSuffix+" are settings of the platform.")
 	patchFile := f.String("patch", "", "patch `file` to check; with Base 0 it is also tried on an empty configuration")
 	if status, ok := e.parse(f, args, 0, -1); !ok {
 		return status
@@ -29,7 +32,7 @@
 
 func (e *environment) checkSettings(files []string) (faulty bool) {
 	for _, name := range files {
-		if _, err := parser.Load(name); err != nil {
+		if err := loadSettings(name); err != nil {
 			e.complain(err)
 			faulty = true
 		}
@@ -37,6 +40,18 @@
 	return faulty
 }
 
+// platformSuffix marks the settings files of the platform.
+const platformSuffix = ".toml"
+
+func loadSettings(name string) error {
+	if strings.HasSuffix(name, platformSuffix) {
+		_, err := platform.LoadSettings(name)
+		return err
+	}
+	_, err := parser.Load(name)
+	return err
+}
+
 func (e *environment) checkPatch(name string) bool {
 	p, err := parser.LoadPatch(name)
 	if err != nil {
