--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/azuretrestle/azuretrestle/platform/faker"
 )
 
 // TestSoak guards against promises that break when processes, links, the store
@@ -42,3 +44,17 @@
 	is.Equal(Main([]string{"-program", "/does/not/exist", "-for", "1s"}, &out, &problems), ExitBroken)
 	is.True(strings.Contains(problems.String(), "not played"))
 }
+
+// TestStartAfterEnd guards against a server that starts as the run ends and that
+// nothing closes; seeds 6, 108 and 125 did not end because of it.
+func TestStartAfterEnd(t *testing.T) {
+	is := is.New(t)
+	w := &world{network: network(os.Getpid()), broken: make(map[faker.StoreFault]int)}
+	w.ctx, w.cancel = context.WithCancelCause(context.Background())
+	u := &upstream{world: w}
+	w.upstreams = []*upstream{u}
+	is.NoErr(u.start(serviceOnce, nil))
+	w.close()
+	is.NoErr(u.start(serviceOnce, nil))
+	is.Equal(u.count, 1)
+}
--- a/internal/soaker/upstream.go
+++ b/internal/soaker/upstream.go
@@ -57,6 +57,10 @@
 func (u *upstream) start(service string, link *proxy) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.world.ctx.Err() != nil {
+		// Nothing closes what starts after the end of the run.
+		return nil
+	}
 	u.count++
 	lis, err := listen(u.world.upstreamAddress(u.number, u.count))
 	if err != nil {
