Find peers that can help before they stop

Cause: entries that were stopped in turn while the store was away came back without a configuration and missed the peers that had it: a new entry asked one of its seeds each 500 ms, and asked only peers that were not about to stop.

Change: while it lacks its configuration a managed entry asks all seeds each 200 ms, and asks peers that leave as well.

TestStartBesideStops fails without the change.

--- a/internal/gossiper/evidence.go
+++ b/internal/gossiper/evidence.go
@@ -20,7 +20,7 @@
 	if v.listRead {
 		return out
 	}
-	for _, s := range v.unresolved() {
+	for _, s := range v.Unresolved() {
 		out = append(out, Entry{Name: s.String(), PeerAddress: s})
 	}
 	slices.SortStableFunc(out, func(a, b Entry) int { return strings.Compare(a.Name, b.Name) })
@@ -36,7 +36,7 @@
 		}
 	}
 	if !v.listRead {
-		count += len(v.unresolved())
+		count += len(v.Unresolved())
 	}
 	return count
 }
--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -78,11 +78,11 @@
 			hints = append(hints, e.PeerAddress)
 		}
 	}
-	return heard, append(hints, v.unresolved()...)
+	return heard, append(hints, v.Unresolved()...)
 }
 
-// unresolved returns the seeds at which no entry is known.
-func (v *View) unresolved() []netip.AddrPort {
+// Unresolved returns the seeds at which no entry is known.
+func (v *View) Unresolved() []netip.AddrPort {
 	var out []netip.AddrPort
 	for _, s := range v.seeds {
 		if !v.hasAddress(s) {
--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -140,7 +140,7 @@
 func (n *Node) requestStore() {
 	var peers []string
 	for _, e := range n.view.Entries() {
-		if n.answers(e) && e.State == gossiper.Alive {
+		if n.answers(e) && e.State != gossiper.Starting {
 			peers = append(peers, e.Name)
 		}
 	}
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -1,6 +1,7 @@
 package reducer_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -233,3 +234,29 @@
 	m.advance(10 * time.Second)
 	is.Equal(m.disconnected, []string{"e0"}) // once for each silence
 }
+
+// TestStartBesideStops guards against an entry that starts while the store is
+// away and misses the peers that could help, because they are about to stop.
+func TestStartBesideStops(t *testing.T) {
+	is := is.New(t)
+	seeds := []netip.AddrPort{netip.MustParseAddrPort("10.0.0.2:1"), netip.MustParseAddrPort("10.0.0.3:1")}
+	m := newManaged(t, seeds...)
+	m.sent = nil
+	m.advance(500 * time.Millisecond)
+	asked := make(map[netip.AddrPort]int)
+	for _, s := range m.sent {
+		asked[s.Address]++
+	}
+	is.True(asked[seeds[0]] >= 2 && asked[seeds[1]] >= 2)
+	m.join("e0", 1)
+	m.peer.Update(m.now, gossiper.Leaving, 1, 0, false)
+	m.tell(gossiper.Ask, 0)
+	m.sent = nil
+	m.advance(250 * time.Millisecond)
+	requested := false
+	for _, s := range m.sent {
+		_, ok := s.Message.(reducer.StoreRequest)
+		requested = requested || ok
+	}
+	is.True(requested)
+}
--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -31,10 +31,10 @@
 	timer   time.Time
 }
 
-func newManaged(t *testing.T) *managed {
+func newManaged(t *testing.T, seeds ...netip.AddrPort) *managed {
 	t.Helper()
 	m := &managed{t: t, now: time.Unix(1000, 0), reads: make(map[reducer.Topic]reducer.ReadStore)}
-	m.node = reducer.New(reducer.Options{Name: "e1", Incarnation: 1, DataCentre: "a", Seed: 1, Managed: &reducer.Managed{
+	m.node = reducer.New(reducer.Options{Name: "e1", Incarnation: 1, DataCentre: "a", Seed: 1, Peers: seeds, Managed: &reducer.Managed{
 		AnswerPeriod: time.Second, RepeatRatio: 0.2, RepeatSlack: 60, ProbeRate: 60,
 	}})
 	m.take(m.node.Start(m.now))
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -11,6 +11,9 @@
 
 const (
 	gossipInterval = 500 * time.Millisecond
+	// searchInterval is that of a managed entry which lacks its configuration. The
+	// peers that could give it may be about to stop.
+	searchInterval = 200 * time.Millisecond
 	listInterval   = 5 * time.Second
 	// listIntervalPerHost keeps the host list, about 100 bytes a line, near 0.3 KB/s.
 	listIntervalPerHost = 300 * time.Millisecond
@@ -45,7 +48,11 @@
 	if n.now.After(m.nextAt.Add(pausePeriod)) {
 		m.resumedAt = n.now
 	}
+	searching := n.Managed != nil && !n.follow.complete()
 	m.nextAt = n.now.Add(gossipInterval)
+	if searching {
+		m.nextAt = n.now.Add(searchInterval)
+	}
 	n.after(m.nextAt, n.gossip)
 	n.view.Forget(n.now)
 	n.refresh()
@@ -58,7 +65,8 @@
 		n.settle()
 		n.confirm()
 	}
-	if n.Managed != nil && !n.follow.complete() {
+	if searching {
+		n.askSeeds()
 		n.requestStore()
 	}
 	n.reportSilent()
@@ -76,6 +84,13 @@
 	n.emit(Send{To: t.Name, Incarnation: t.Incarnation, Address: t.Address, Message: Exchange{m}})
 }
 
+// askSeeds starts an exchange with whoever has the addresses that were named at the start.
+func (n *Node) askSeeds() {
+	for _, a := range n.view.Unresolved() {
+		n.ask(gossiper.Target{Address: a})
+	}
+}
+
 // askAll starts an exchange with every entry that answers, so that a new state is known at once.
 func (n *Node) askAll() {
 	for _, e := range n.view.Entries() {
