Send nothing without a look while most upstreams are full

The log showed attempts sent to upstreams that were known to run 14 to 21 requests with 6 slots. Once a request had had nine probes, or the rate of probes was used up, it was sent without a look; between 10 and 15 ms after a look that found an upstream full it was sent there as well. Full servers reset such requests, callers repeat them, and the crowded servers work slower: the overload keeps itself up.

Change: the pool follows the share of looks that find an upstream full. While it is over 0.6, what can't be preceded by a probe waits, and a request that had its probes is refused as not run, with a random time to come back within its target. A look that found an upstream full holds as long as a report is fresh.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -72,6 +72,8 @@
 	// untold counts the reports that told none.
 	untold int
 	crowd  crowding
+	// fullShare is the share of the last looks that found an upstream full.
+	fullShare float64
 	warmth
 }
 
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -16,9 +16,15 @@
 	freshReport = 15 * time.Millisecond
 	// slowKnown and fullKnown are how long an upstream that was found slow or full
 	// is passed over without another look. A slow phase lasts longer than a
-	// request of others takes to free a slot.
+	// request of others takes to free a slot. Neither is shorter than freshReport,
+	// or an upstream known to be full would get work without a look.
 	slowKnown = 30 * time.Millisecond
-	fullKnown = 10 * time.Millisecond
+	fullKnown = freshReport
+	// fullWeight is the weight of a new look in the share of looks that found an upstream full.
+	fullWeight = 0.1
+	// crammedShare is the share from which work that is sent without a look most
+	// likely meets a full upstream, and adds to its queue or is lost.
+	crammedShare = 0.6
 	// maxUntold is the number of reports without a pace after which a pool counts
 	// as one whose upstreams tell none.
 	maxUntold = 3
@@ -62,7 +68,7 @@
 // recent is known of the upstream's pace.
 func (p *Pool) Unsure(now time.Time, a *Attempt) bool {
 	u := a.upstream
-	return (p.TellsPace() || p.untold < maxUntold) && now.Sub(u.reportedAt) > freshReport
+	return (p.TellsPace() || p.untold < maxUntold) && now.Sub(u.reportedAt) >= freshReport
 }
 
 // Suits reports whether the probe that preceded an attempt found the upstream
@@ -72,6 +78,18 @@
 	return u.running < p.usableSlots(u) && (anyPace || u.pace < slowPace)
 }
 
+// Screened takes the result of a probe that preceded an attempt.
+func (p *Pool) Screened(a *Attempt, answered bool) {
+	sample := 0.0
+	if !answered || a.upstream.running >= p.usableSlots(a.upstream) {
+		sample = 1
+	}
+	p.fullShare += (sample - p.fullShare) * fullWeight
+}
+
+// Crammed reports whether most upstreams that were looked at lately had no free slot.
+func (p *Pool) Crammed() bool { return p.fullShare > crammedShare }
+
 // Untold notes a probe whose answer told no load.
 func (p *Pool) Untold() { p.untold++ }
 
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -160,7 +160,7 @@
 		return
 	}
 	n.end(r)
-	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome(), Waiting: r.service.queue.Waiting(), Due: r.due})
+	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome(), Waiting: r.service.queue.Waiting(), Due: r.due, RetryAt: r.retryAt})
 }
 
 // onceRefuse ends a request that got no answer. While its claim has the right
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -46,6 +46,8 @@
 	once *onceRequest
 	// watch is the timer of a hedged attempt.
 	watch *timer
+	// retryAt is when the caller may come back if the request is refused; zero if nothing is known.
+	retryAt time.Time
 	// fresh is set if further attempts need new connections.
 	fresh bool
 	screening
@@ -153,7 +155,9 @@
 		if ok {
 			s.queue.Take(n.now, it.ID)
 			r.queued = false
-			n.screen(r, choice)
+			if !n.screen(r, choice) {
+				break
+			}
 			continue
 		}
 		if len(r.attempts) == 0 {
--- a/internal/reducer/screen.go
+++ b/internal/reducer/screen.go
@@ -16,6 +16,11 @@
 	maxAllScreens = 9
 	// recheckInterval is when waiting requests look for an upstream again.
 	recheckInterval = 8 * time.Millisecond
+	// leastRetry is the earliest time at which a caller may come back that found all
+	// upstreams full, crammedSpread the reciprocal share of the target over which
+	// callers are spread beyond it.
+	leastRetry    = 100 * time.Millisecond
+	crammedSpread = 2
 	// screenSaved bounds the probes that a quiet time saves up, in seconds of the rate.
 	screenSaved = 2
 )
@@ -35,13 +40,18 @@
 
 // screen sends a request to an upstream, after a probe if nothing recent is
 // known of its pace. A slow phase lasts longer than a probe takes, and a request
-// that is sent into one can't be called back if it must not run twice.
-func (n *Node) screen(r *request, c balancer.Choice) {
+// that is sent into one can't be called back if it must not run twice. It reports
+// false if the request was put back, since nothing can be sent without a probe.
+func (n *Node) screen(r *request, c balancer.Choice) bool {
 	s := r.service
 	hedged := r.open() > 0
-	if n.Managed == nil || r.allScreens >= maxAllScreens || !s.pool.Unsure(n.now, c.Attempt) || !s.spendProbe() {
+	if n.Managed == nil || !s.pool.Unsure(n.now, c.Attempt) {
 		n.launch(r, c, hedged)
-		return
+		return true
+	}
+	tired := r.allScreens >= maxAllScreens
+	if tired || !s.spendProbe() {
+		return n.unscreened(r, c, hedged, tired)
 	}
 	r.screened = &c
 	r.hedged = hedged
@@ -51,6 +61,37 @@
 		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Connections: c.Connections,
 		Path: s.config.ProbePath, Deadline: n.now.Add(screenPatience),
 	})
+	return true
+}
+
+// unscreened decides on an attempt that can't be preceded by a probe, because
+// the request had enough of them (tired) or the entry may send no more. It is sent
+// unless most upstreams are full: it would only fill queues, and work that is
+// lost there comes back as more work. It reports false if the request was put back.
+func (n *Node) unscreened(r *request, c balancer.Choice, hedged, tired bool) bool {
+	if !r.service.pool.Crammed() {
+		n.launch(r, c, hedged)
+		return true
+	}
+	r.service.pool.Release(c.Attempt)
+	switch {
+	case hedged:
+	case tired && len(r.attempts) == 0:
+		n.refuseCrammed(r)
+	default:
+		r.allScreens = 0
+		n.requeue(r)
+		return false
+	}
+	return true
+}
+
+// refuseCrammed ends a request that found no free slot; its caller is told to come
+// back at a random time within its target, so that not all come at once.
+func (n *Node) refuseCrammed(r *request) {
+	spread := max(int64(r.rank.Target.Duration/crammedSpread), 1)
+	r.retryAt = n.now.Add(leastRetry + time.Duration(n.random.Int64N(spread)))
+	n.refuseRequest(r, classifier.QueueFull)
 }
 
 // launch dispatches an attempt that needs no further probe.
@@ -80,6 +121,7 @@
 	}
 	c := *r.screened
 	r.screened = nil
+	s.pool.Screened(c.Attempt, ev.OK || ev.Report != nil)
 	if r.relayed {
 		s.pool.Release(c.Attempt)
 		return
--- a/internal/reducer/screen_test.go
+++ b/internal/reducer/screen_test.go
@@ -172,3 +172,39 @@
 		is.Equal(refused, c.refused)
 	}
 }
+
+// TestCrammed guards against requests that are sent without a look while the
+// upstreams are full, which keeps them full for good, and against a loop over a
+// request that can't be sent.
+func TestCrammed(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Unrepeatable, "u1", "u2", "u3")
+	refused, sent := 0, 0
+	for id := range reducer.RequestID(200) {
+		m.effects = nil
+		m.request(id+1, time.Second)
+		for range 60 {
+			if r, ok := find[reducer.Refuse](m); ok && r.ID == id+1 {
+				is.Equal(r.Outcome, classifier.OutcomeNotRun)
+				if r.Code == classifier.QueueFull {
+					refused++
+					is.True(r.RetryAt.After(m.now))
+				}
+				break
+			}
+			if _, ok := find[reducer.Dispatch](m); ok {
+				sent++
+				break
+			}
+			p, ok := find[reducer.Probe](m)
+			if !ok || p.Request == 0 {
+				m.advance(10 * time.Millisecond)
+				continue
+			}
+			m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: p.Request, Service: p.Service, Upstream: p.Upstream, OK: true, Report: &balancer.Report{Pace: 1, InFlight: 4}})
+		}
+	}
+	is.Equal(sent, 0)
+	is.True(refused > 20)
+}
