--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -12,9 +12,14 @@
 	// drain or a document has to take effect.
 	copyPatience = 1000 * time.Millisecond
 	// turnDelay is the wait per entry that comes before this one, so that usually
-	// one entry takes over the reading; maxTurns bounds it.
+	// one entry takes over the reading, for the first maxTurns of them; for each
+	// further one it is shortTurn, up to maxShort of them. Should the first entries
+	// all be gone, the others would otherwise open connections to the store at the
+	// same moment, and some would not get through to it.
 	turnDelay = 150 * time.Millisecond
 	maxTurns  = 3
+	shortTurn = 8 * time.Millisecond
+	maxShort  = 50
 	// maxCopiedRoutes bounds the routes that are copied. A route takes about 200
 	// bytes, and the link of an entry may carry no more than 1 MB a second.
 	maxCopiedRoutes = 100
@@ -30,12 +35,23 @@
 	if id != r.id {
 		return
 	}
-	wait := copyPatience + turnDelay*time.Duration(min(n.turn(), maxTurns))
-	if n.turn() == 0 || n.now.Sub(r.copiedAt) >= wait {
+	turn := n.turn()
+	due := r.copiedAt.Add(copyPatience + turnWait(turn))
+	if turn == 0 || !n.now.Before(due) {
 		n.readOn(t)
 		return
 	}
-	n.after(n.now.Add(copyCheck), func() { n.readDue(t, id) })
+	next := n.now.Add(copyCheck)
+	if due.Before(next) {
+		next = due
+	}
+	n.after(next, func() { n.readDue(t, id) })
+}
+
+// turnWait is how much longer an entry waits for copies than the first one after the reader.
+func turnWait(turn int) time.Duration {
+	short := min(max(turn-maxTurns, 0), maxShort)
+	return turnDelay*time.Duration(min(turn, maxTurns)) + shortTurn*time.Duration(short)
 }
 
 // turn is the number of entries that are to read before this one.
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -1,6 +1,7 @@
 package reducer_test
 
 import (
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
@@ -260,3 +261,28 @@
 	}
 	is.True(requested)
 }
+
+// TestTurns guards against entries that all read the store at the same moment
+// once copies end, because those that come first are gone.
+func TestTurns(t *testing.T) {
+	is := is.New(t)
+	last := time.Duration(0)
+	for _, before := range []int{1, 2, 4, 5, 12, 40} {
+		m := newManaged(t)
+		m.serve(patcher.Idempotent, "u1")
+		m.join("e0", 1)
+		m.read(reducer.TopicUpstreams, 5)
+		for i := range before - 1 {
+			m.node.PutEntry(gossiper.Entry{Name: fmt.Sprintf("a%02d", i), Incarnation: 1, State: gossiper.Alive, HeardAt: m.now, KnownAt: m.now})
+		}
+		m.from(reducer.StoreCopy{Topic: reducer.TopicUpstreams, From: 5, Next: 5})
+		begun, read := m.now, m.reads[reducer.TopicUpstreams].ID
+		for m.reads[reducer.TopicUpstreams].ID == read && m.now.Sub(begun) < 3*time.Second {
+			m.advance(time.Millisecond)
+		}
+		waited := m.now.Sub(begun)
+		is.True(waited > last) // not together with one that comes before
+		is.True(waited < 1800*time.Millisecond)
+		last = waited
+	}
+}
