--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -15,6 +15,8 @@
 	// Outcomes counts the requests by status; "none" had no answer, "left" were given up.
 	Outcomes map[string]int
 	Requests int
+	// InTouch counts the requests to which the bounds in time apply.
+	InTouch  int
 	Runs     int
 	Faults   int
 	Versions int
@@ -28,6 +30,9 @@
 	}
 	for _, q := range t.Requests {
 		r.Outcomes[q.outcome()]++
+		if t.inTouch(q.Entry, q.SentAt) {
+			r.InTouch++
+		}
 	}
 	return r
 }
@@ -45,7 +50,7 @@
 
 // Write prints the report as text.
 func (r *Report) Write(w io.Writer) {
-	_, _ = fmt.Fprintf(w, "%d requests, %d runs, %d faults, %d versions; by outcome:", r.Requests, r.Runs, r.Faults, r.Versions)
+	_, _ = fmt.Fprintf(w, "%d requests, %d at entries in touch, %d runs, %d faults, %d versions; by outcome:", r.Requests, r.InTouch, r.Runs, r.Faults, r.Versions)
 	for _, name := range slices.Sorted(maps.Keys(r.Outcomes)) {
 		_, _ = fmt.Fprintf(w, " %s %d", name, r.Outcomes[name])
 	}
