--- a/internal/soaker/plan.go
+++ b/internal/soaker/plan.go
@@ -129,7 +129,7 @@
 // Plan returns the faults of a run, which follow from the seed alone.
 func Plan(seed uint64, begun time.Time, length time.Duration, size Size) []Step {
 	g := generator{random: rand.New(rand.NewPCG(seed, 1)), size: size}
-	g.kinds = g.random.Perm(kinds)[:leastKinds+g.random.IntN(kinds-leastKinds+1)]
+	g.kinds = g.random.Perm(len(kinds))[:leastKinds+g.random.IntN(len(kinds)-leastKinds+1)]
 	pause := leastPause + time.Duration(g.random.Int64N(int64(mostPause-leastPause)))
 	end := begun.Add(length - quietAfter)
 	if recovery := recoverBound + recoverSample; length > 2*recovery {
@@ -161,7 +161,8 @@
 	kind := g.kinds[g.random.IntN(len(g.kinds))]
 	pause := time.Duration(g.random.IntN(3)) * 300 * time.Millisecond
 	for ; count > 0 && at.Before(end); count-- {
-		f, lasting := g.fault(kind)
+		t := target{g.random.IntN(g.size.Entries), g.random.IntN(g.size.Upstreams)}
+		f, lasting := kinds[kind](g, t)
 		s := Step{At: at, Fault: f}
 		if lasting {
 			s.Until = at.Add(200*time.Millisecond + time.Duration(g.random.Int64N(int64(longestFault))))
@@ -174,48 +175,50 @@
 	}
 }
 
-// kinds is the number of kinds of fault that fault draws from.
-const kinds = 14
-
-// fault draws a fault of a kind; it reports whether it lasts. Some kinds come
-// in two variants.
-func (g *generator) fault(kind int) (f Fault, lasting bool) {
-	entry, upstream := g.random.IntN(g.size.Entries), g.random.IntN(g.size.Upstreams)
-	switch kind {
-	case 0, 1:
-		return StopEntry{entry}, false
-	case 2:
-		return KillEntry{entry}, false
-	case 3:
-		return PauseEntry{entry}, true
-	case 4:
-		return ReloadEntry{entry}, false
-	case 5, 6:
-		return g.link(), true
-	case 7:
-		faults := []faker.StoreFault{faker.StoreRefuses, faker.StoreResets, faker.StoreSilent, faker.StoreSlow}
-		return BreakStore{Fault: faults[g.random.IntN(len(faults))], Lapse: g.random.IntN(2) == 0}, true
-	case 8:
-		return ExpireStore{}, false
-	case 9:
-		faults := []faker.Fault{faker.FaultShed, faker.FaultReset, faker.FaultSilent}
-		return BreakUpstream{Upstream: upstream, Fault: faults[g.random.IntN(len(faults))]}, true
-	case 10:
-		return DrainUpstream{Upstream: upstream, Silently: g.random.IntN(3) == 0}, false
-	case 11:
-		return CrashUpstream{Upstream: upstream, Reuse: g.random.IntN(2) == 0}, false
-	default:
-		return Configure{}, false
-	}
+// target is the entry and the upstream that a fault may strike.
+type target struct{ entry, upstream int }
+
+// kinds holds what a plan draws from; what is listed twice comes twice as often.
+// Each draws a fault and reports whether it lasts.
+var kinds = []func(*generator, target) (f Fault, lasting bool){
+	planStop, planStop,
+	func(_ *generator, t target) (Fault, bool) { return KillEntry{t.entry}, false },
+	func(_ *generator, t target) (Fault, bool) { return PauseEntry{t.entry}, true },
+	func(_ *generator, t target) (Fault, bool) { return ReloadEntry{t.entry}, false },
+	planLink, planLink,
+	planStore,
+	func(*generator, target) (Fault, bool) { return ExpireStore{}, false },
+	planUpstream,
+	func(g *generator, t target) (Fault, bool) {
+		return DrainUpstream{Upstream: t.upstream, Silently: g.random.IntN(3) == 0}, false
+	},
+	func(g *generator, t target) (Fault, bool) {
+		return CrashUpstream{Upstream: t.upstream, Reuse: g.random.IntN(2) == 0}, false
+	},
+	planVersion, planVersion,
+}
+
+func planStop(_ *generator, t target) (Fault, bool) { return StopEntry{t.entry}, false }
+
+func planVersion(*generator, target) (Fault, bool) { return Configure{}, false }
+
+func planStore(g *generator, _ target) (Fault, bool) {
+	faults := []faker.StoreFault{faker.StoreRefuses, faker.StoreResets, faker.StoreSilent, faker.StoreSlow}
+	return BreakStore{Fault: faults[g.random.IntN(len(faults))], Lapse: g.random.IntN(2) == 0}, true
+}
+
+func planUpstream(g *generator, t target) (Fault, bool) {
+	faults := []faker.Fault{faker.FaultShed, faker.FaultReset, faker.FaultSilent}
+	return BreakUpstream{Upstream: t.upstream, Fault: faults[g.random.IntN(len(faults))]}, true
 }
 
-func (g *generator) link() Fault {
+func planLink(g *generator, _ target) (Fault, bool) {
 	l := Link{Side: Side(g.random.IntN(int(sides)))}
 	l.Number = g.random.IntN(g.size.Entries)
 	if l.Side == SideUpstream {
 		l.Number = g.random.IntN(g.size.Upstreams)
 	}
-	return BreakLink{Link: l, Mode: ModeDelay + Mode(g.random.IntN(int(modes-ModeDelay)))}
+	return BreakLink{Link: l, Mode: ModeDelay + Mode(g.random.IntN(int(modes-ModeDelay)))}, true
 }
 
 // String returns the step in one line.
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -126,50 +126,61 @@
 	}
 }
 
-// stop ends the process as planned and starts it again.
-func (p *process) stop(random *rand.Rand) {
+// ending is a process that was told to end.
+type ending struct {
+	process *os.Process
+	done    <-chan struct{}
+	paused  bool
+	// over ends the disturbance.
+	over func()
+}
+
+// tell sends a signal that ends the process; it reports false if it is ending already.
+func (p *process) tell(sig syscall.Signal, d Disturbance) (e ending, ok bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	if p.told || p.closed {
-		p.mu.Unlock()
-		return
+		return ending{}, false
 	}
 	p.told = true
-	c, ended, paused := p.command, p.ended, p.paused
-	end := p.recorder.disturb(Disturbance{Entry: p.number, Planned: true, Cause: "planned stop"})
-	_ = c.Process.Signal(syscall.SIGTERM)
-	p.mu.Unlock()
-	defer end()
+	d.Entry = p.number
+	e = ending{process: p.command.Process, done: p.ended, paused: p.paused, over: p.recorder.disturb(d)}
+	_ = e.process.Signal(sig)
+	return e, true
+}
+
+// stop ends the process as planned and starts it again.
+func (p *process) stop(random *rand.Rand) {
+	e, ok := p.tell(syscall.SIGTERM, Disturbance{Planned: true, Cause: "planned stop"})
+	if !ok {
+		return
+	}
+	defer e.over()
 	select {
-	case <-ended:
-		if p.err != nil && !paused {
+	case <-e.done:
+		if p.err != nil && !e.paused {
 			p.recorder.exit(p.number, "a planned stop ended with "+p.err.Error())
 		}
 	case <-p.ctx.Done():
 		return
 	case <-time.After(graceBound + exitMargin):
-		if !paused {
+		if !e.paused {
 			p.recorder.exit(p.number, "a planned stop did not end within the grace")
 		}
-		_ = c.Process.Kill()
-		<-ended
+		_ = e.process.Kill()
+		<-e.done
 	}
 	p.again(random, true)
 }
 
 // kill ends the process at once and starts it again.
 func (p *process) kill(random *rand.Rand) {
-	p.mu.Lock()
-	if p.told || p.closed {
-		p.mu.Unlock()
+	e, ok := p.tell(syscall.SIGKILL, Disturbance{Cause: "kill"})
+	if !ok {
 		return
 	}
-	p.told = true
-	ended := p.ended
-	end := p.recorder.disturb(Disturbance{Entry: p.number, Cause: "kill"})
-	_ = p.command.Process.Kill()
-	p.mu.Unlock()
-	defer end()
-	<-ended
+	defer e.over()
+	<-e.done
 	p.again(random, false)
 }
 
