Send requests to upstreams whose probes fail and that tell no load

Cause: found in reading. A failed probe counted as a full upstream also in pools that never told a load; where health is false for all of a service's upstreams, every request would have been refused.

Change: only a pool whose upstreams tell their pace can count as full.

Measured: TestIllUpstreams failed before, with at most 15 of 20 requests sent, and passes now. Pools that tell a pace are treated as before.

--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -87,8 +87,9 @@
 	p.fullShare += (sample - p.fullShare) * fullWeight
 }
 
-// Crammed reports whether most upstreams that were looked at lately had no free slot.
-func (p *Pool) Crammed() bool { return p.fullShare > crammedShare }
+// Crammed reports whether most upstreams that were looked at lately had no free
+// slot. Of upstreams that never told their load, a failed probe tells nothing.
+func (p *Pool) Crammed() bool { return p.TellsPace() && p.fullShare > crammedShare }
 
 // Untold notes a probe whose answer told no load.
 func (p *Pool) Untold() { p.untold++ }
--- a/internal/reducer/screen_test.go
+++ b/internal/reducer/screen_test.go
@@ -208,3 +208,28 @@
 	is.Equal(sent, 0)
 	is.True(refused > 20)
 }
+
+// TestIllUpstreams guards against requests that are never sent because the health
+// of upstreams which tell no load is false, or their probes are not answered.
+func TestIllUpstreams(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1", "u2", "u3")
+	sent := 0
+	for id := range reducer.RequestID(20) {
+		m.effects = nil
+		m.request(id+1, time.Second)
+		for range 60 {
+			if _, ok := find[reducer.Dispatch](m); ok {
+				sent++
+				break
+			}
+			if p, ok := find[reducer.Probe](m); ok && p.Request != 0 {
+				m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: p.Request, Service: p.Service, Upstream: p.Upstream})
+				continue
+			}
+			m.advance(10 * time.Millisecond)
+		}
+	}
+	is.True(sent > 15)
+}
