Read a large document once while others tell of it

Each entry reads such a document for itself and told all others of it; each of these messages began the read of a receiver anew, so that those on links of 10 Mbit/s had it only when the others had finished. A copy without changes then made them ask a peer for everything, the document included.

Change: a read in progress goes on and notes how far others have read; it is followed by another one if that was not enough. Reads made for this reason are not told to others, and records that were not passed on are not asked of peers.

TestLargeDocumentOnce: 20 messages began 21 reads before, one now.

--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -116,8 +116,9 @@
 		r.loaded = true
 	case c.Whole || !r.loaded || c.Next < r.next:
 		return
-	case c.From > r.next && c.Skipped:
-		n.readOn(c.Topic)
+	case c.From > r.next && (c.Skipped || r.wanted > r.next):
+		r.copiedAt = n.now
+		n.readSkipped(c.Topic, c.Next)
 		return
 	case c.From > r.next:
 		n.requestMissing(from)
@@ -142,6 +143,19 @@
 	n.applyStore()
 }
 
+// readSkipped reads records that others have read and do not pass on. A read in
+// progress goes on: each entry that reads a large document tells all others, and
+// over a thin link a read that began anew each time would never end.
+func (n *Node) readSkipped(t Topic, wanted uint64) {
+	r := &n.follow.read[t]
+	r.wanted = max(r.wanted, wanted)
+	if r.busy {
+		return
+	}
+	n.readOn(t)
+	r.private = true
+}
+
 // requestMissing asks a peer for records that its copies lack. If it does not
 // answer, copies go stale and this entry reads the store.
 func (n *Node) requestMissing(peer string) {
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -173,6 +173,12 @@
 	copiedAt time.Time
 	// triedAt is when the last read that failed began.
 	triedAt time.Time
+	// busy is set while a read is in progress.
+	busy bool
+	// wanted is the offset up to which others have read what they do not pass on.
+	wanted uint64
+	// private is set if the read in progress is for such records, which all others read too.
+	private bool
 }
 
 func newFollowing() following {
@@ -195,9 +201,12 @@
 }
 
 func (n *Node) newRead(t Topic) uint64 {
-	n.follow.read[t].id++
-	n.follow.read[t].begunAt = n.now
-	return n.follow.read[t].id
+	r := &n.follow.read[t]
+	r.id++
+	r.begunAt = n.now
+	r.busy = true
+	r.private = false
+	return r.id
 }
 
 func (n *Node) readOn(t Topic) {
@@ -210,6 +219,8 @@
 	if ev.ID != r.id {
 		return
 	}
+	r.busy = false
+	private := r.private
 	if !r.failedAt.IsZero() {
 		n.storeBack(ev.Topic, r)
 	}
@@ -231,7 +242,13 @@
 		n.follow.registrar.Keep(n.now, names)
 	}
 	n.applyStore()
-	n.shareRead(ev, from, changes)
+	if !private {
+		n.shareRead(ev, from, changes)
+	}
+	if r.wanted > r.next && r.next > from {
+		n.readSkipped(ev.Topic, r.wanted)
+		return
+	}
 	n.after(n.now.Add(pollInterval), func() { n.readDue(ev.Topic, ev.ID) })
 }
 
@@ -252,6 +269,7 @@
 		n.readExpired(ev.Topic, r)
 		return
 	}
+	r.busy = false
 	r.triedAt = r.begunAt
 	pause := n.retryPause(r)
 	if r.failedAt.IsZero() {
@@ -284,7 +302,9 @@
 // the read in progress should have brought.
 func (n *Node) readNewer() {
 	f := &n.follow
-	if !f.read[TopicDocument].loaded || n.now.Before(f.newerAt) {
+	r := f.read[TopicDocument]
+	reading := r.busy && n.now.Before(r.begunAt.Add(pollPatience))
+	if !r.loaded || reading || n.now.Before(f.newerAt) {
 		return
 	}
 	first := f.newerAt.IsZero() || n.now.Sub(f.newerAt) > 2*newerInterval
--- a/internal/reducer/follow_test.go
+++ b/internal/reducer/follow_test.go
@@ -286,3 +286,40 @@
 		last = waited
 	}
 }
+
+// TestLargeDocumentOnce guards against a read of a large document that begins anew
+// with each entry that tells of it, and against entries that tell each other of
+// what all of them read for themselves.
+func TestLargeDocumentOnce(t *testing.T) {
+	is := is.New(t)
+	m := newManaged(t)
+	m.serve(patcher.Idempotent, "u1")
+	m.join("e0", 1)
+	m.read(reducer.TopicDocument, 2)
+	skipped := func(next uint64) {
+		m.from(reducer.StoreCopy{Topic: reducer.TopicDocument, From: next, Next: next, Skipped: true})
+	}
+	before := m.reads[reducer.TopicDocument].ID
+	skipped(3)
+	first := m.reads[reducer.TopicDocument]
+	is.Equal(first.ID, before+1)
+	for range 20 {
+		skipped(4)
+		m.from(reducer.StoreCopy{Topic: reducer.TopicDocument, From: 4, Next: 4})
+		m.advance(10 * time.Millisecond)
+	}
+	is.Equal(m.reads[reducer.TopicDocument].ID, first.ID)
+	m.sent = nil
+	m.read(reducer.TopicDocument, 3, managedDocument(2, patcher.Idempotent))
+	is.Equal(m.reads[reducer.TopicDocument].From, uint64(3)) // the rest that was told of
+	m.read(reducer.TopicDocument, 4, managedDocument(3, patcher.Idempotent))
+	is.Equal(m.node.Config().Version, uint64(3))
+	for _, s := range m.sent {
+		_, told := s.Message.(reducer.StoreCopy)
+		is.True(!told)
+	}
+	m.advance(time.Second)
+	m.fail(reducer.TopicDocument, false)
+	m.advance(time.Second)
+	is.Equal(m.reads[reducer.TopicDocument].From, uint64(4)) // reading goes on
+}
