Index the trace of a soak once for all checks

No check, bound or expectation changes.

Measured: tests of soaker, platform and the entry tests of commander, linter.

--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -10,20 +10,21 @@
 
 // Check returns the promises that a run broke, in the order of time.
 func Check(t *Trace) []Violation {
+	x := newIndex(t)
 	var out []Violation
-	for _, check := range []func(*Trace) []Violation{
+	for _, check := range []func(*index) []Violation{
 		checkOnce, checkNotRun, checkAnswers, checkAsked, checkDrain, checkVersions, checkReverts,
 		checkStops, checkTimeouts, checkRepeats, checkRecovery, checkExits,
 	} {
-		out = append(out, check(t)...)
+		out = append(out, check(x)...)
 	}
 	slices.SortStableFunc(out, func(a, b Violation) int { return a.At.Compare(b.At) })
 	return out
 }
 
 // checkOnce finds requests that ran twice though they must not.
-func checkOnce(t *Trace) (out []Violation) {
-	runs := t.runsOf()
+func checkOnce(t *index) (out []Violation) {
+	runs := t.runs
 	for _, r := range t.Requests {
 		if n := len(runs[r.ID]); r.onceOnly() && n > 1 {
 			out = append(out, violation("Once", runs[r.ID][1].At, "request %s ran %d times", r.ID, n))
@@ -33,8 +34,8 @@
 }
 
 // checkNotRun finds requests that ran though their answer says that they did not.
-func checkNotRun(t *Trace) (out []Violation) {
-	runs := t.runsOf()
+func checkNotRun(t *index) (out []Violation) {
+	runs := t.runs
 	for _, r := range t.Requests {
 		if r.onceOnly() && promisesNotRun(r.Status) && len(runs[r.ID]) > 0 {
 			out = append(out, violation("NotRun", r.EndedAt, "request %s got status %d and ran at %s", r.ID, r.Status, runs[r.ID][0].Server))
@@ -53,8 +54,8 @@
 }
 
 // checkAnswers finds successes that are not the whole answer to the caller's own request.
-func checkAnswers(t *Trace) (out []Violation) {
-	runs := t.runsOf()
+func checkAnswers(t *index) (out []Violation) {
+	runs := t.runs
 	for _, r := range t.Requests {
 		if r.Status != http.StatusOK {
 			continue
@@ -70,8 +71,8 @@
 }
 
 // checkAsked finds runs of requests that no caller sent, or that were changed on the way.
-func checkAsked(t *Trace) (out []Violation) {
-	requests := t.byID()
+func checkAsked(t *index) (out []Violation) {
+	requests := t.requests
 	for _, run := range t.Runs {
 		r, ok := requests[run.ID]
 		if !ok || r.Method != run.Method || r.Target != run.Target || r.Body != run.Body {
@@ -82,14 +83,14 @@
 }
 
 // checkDrain finds runs at upstreams that had left for longer than drainBound.
-func checkDrain(t *Trace) (out []Violation) {
+func checkDrain(t *index) (out []Violation) {
 	left := make(map[string]time.Time)
 	for _, d := range t.Departures {
 		if _, ok := left[d.Upstream]; !ok {
 			left[d.Upstream] = d.At
 		}
 	}
-	requests := t.byID()
+	requests := t.requests
 	for _, run := range t.Runs {
 		at, leaving := left[run.Server]
 		r, ok := requests[run.ID]
@@ -103,8 +104,8 @@
 
 // checkVersions finds requests that were handled as only versions allow which
 // were replaced more than configBound before.
-func checkVersions(t *Trace) (out []Violation) {
-	runs := t.runsOf()
+func checkVersions(t *index) (out []Violation) {
+	runs := t.runs
 	for _, r := range t.Requests {
 		if r.onceOnly() || !t.inTouch(r.Entry, r.SentAt) {
 			continue
@@ -137,14 +138,14 @@
 // checkReverts finds entries that handle a request by an older version than
 // one whose effect was seen before. For each entry it follows the lowest
 // version that explains all that was seen.
-func checkReverts(t *Trace) (out []Violation) {
+func checkReverts(t *index) (out []Violation) {
 	type effect struct {
 		at     time.Time
 		number int
 	}
 	// seen holds the effects by entry and start of the process.
 	seen := make(map[int][]effect)
-	requests := t.byID()
+	requests := t.requests
 	for _, run := range t.Runs {
 		r, ok := requests[run.ID]
 		if !ok || r.onceOnly() || !t.known(run) {
@@ -186,8 +187,8 @@
 
 // checkStops finds requests that an entry took and that ended without an
 // answer during a planned stop or reload, with nothing else in the way.
-func checkStops(t *Trace) (out []Violation) {
-	runs := t.runsOf()
+func checkStops(t *index) (out []Violation) {
+	runs := t.runs
 	for _, r := range t.Requests {
 		broken := slices.ContainsFunc(runs[r.ID], func(run faker.Run) bool { return run.Broken || t.crashed(run, r.EndedAt) })
 		if r.Status != 0 || r.GaveUp || len(runs[r.ID]) == 0 || broken {
@@ -215,7 +216,7 @@
 }
 
 // checkTimeouts finds requests without an answer at the timeout of their route.
-func checkTimeouts(t *Trace) (out []Violation) {
+func checkTimeouts(t *index) (out []Violation) {
 	for _, r := range t.Requests {
 		took := r.EndedAt.Sub(r.SentAt)
 		if took > r.timeout()+timeoutSlack && t.inTouch(r.Entry, r.SentAt) && t.inTouch(r.Entry, r.EndedAt) {
@@ -226,7 +227,7 @@
 }
 
 // checkRepeats finds windows in which a service got more second arrivals than the budget allows.
-func checkRepeats(t *Trace) (out []Violation) {
+func checkRepeats(t *index) (out []Violation) {
 	first := make(map[string]bool)
 	repeats := make(map[string][]time.Time)
 	for _, run := range t.Runs {
@@ -257,7 +258,7 @@
 }
 
 // checkRecovery finds a run after whose faults too few requests are served.
-func checkRecovery(t *Trace) []Violation {
+func checkRecovery(t *index) []Violation {
 	var last time.Time
 	for _, d := range t.Disturbances {
 		if d.Until.IsZero() {
@@ -287,7 +288,7 @@
 }
 
 // checkExits finds processes that ended by themselves, late or with an error.
-func checkExits(t *Trace) (out []Violation) {
+func checkExits(t *index) (out []Violation) {
 	for _, e := range t.Exits {
 		out = append(out, violation("Exit", e.At, "entry %d: %s", e.Entry, e.Detail))
 	}
--- a/internal/soaker/trace.go
+++ b/internal/soaker/trace.go
@@ -114,22 +114,22 @@
 	})
 }
 
-// runsOf returns the runs by request.
-func (t *Trace) runsOf() map[string][]faker.Run {
-	out := make(map[string][]faker.Run)
-	for _, r := range t.Runs {
-		out[r.ID] = append(out[r.ID], r)
-	}
-	return out
+// index is a trace with its runs and requests by the id of the request.
+type index struct {
+	*Trace
+	runs     map[string][]faker.Run
+	requests map[string]Request
 }
 
-// byID returns the requests by their ids.
-func (t *Trace) byID() map[string]Request {
-	out := make(map[string]Request, len(t.Requests))
+func newIndex(t *Trace) *index {
+	x := &index{Trace: t, runs: make(map[string][]faker.Run), requests: make(map[string]Request, len(t.Requests))}
+	for _, r := range t.Runs {
+		x.runs[r.ID] = append(x.runs[r.ID], r)
+	}
 	for _, r := range t.Requests {
-		out[r.ID] = r
+		x.requests[r.ID] = r
 	}
-	return out
+	return x
 }
 
 // recorder collects a trace from several goroutines.
