--- a/internal/driver/requestlog.go
+++ b/internal/driver/requestlog.go
@@ -25,6 +25,8 @@
 	status    int
 	// sent is set unless it is certain that no byte of the request was sent.
 	sent bool
+	// leaving is set if the response said that the upstream is about to stop.
+	leaving bool
 }
 
 func newTrace(e reducer.Dispatch) attemptTrace {
@@ -41,8 +43,9 @@
 	t.sent = sent
 }
 
-func (t *attemptTrace) gotResponse(status int, notRun bool) {
+func (t *attemptTrace) gotResponse(status int, notRun, leaving bool) {
 	t.endedAt = time.Now()
+	t.leaving = leaving
 	t.result = "Answered"
 	t.status = status
 	if notRun {
@@ -64,6 +67,9 @@
 	if t.status != 0 {
 		enc.AddInt("Status", t.status)
 	}
+	if t.leaving {
+		enc.AddBool("Leaving", true)
+	}
 	if !t.endedAt.IsZero() {
 		enc.AddDuration("Took", t.endedAt.Sub(t.startedAt))
 	}
@@ -84,10 +90,11 @@
 }
 
 // logRequest logs how a request ended and why. Of the plain successes, which took
-// one attempt and have a status below 500, it logs one in successSampling.
+// one attempt at an upstream that is not leaving and have a status below 500, it logs
+// one in successSampling.
 func (d *Driver) logRequest(c *call, rank string, code classifier.Code, start time.Time) {
 	ts, version := d.attemptTraces(c)
-	plain := code == classifier.OK && len(ts) == 1 && ts[0].status < 500
+	plain := code == classifier.OK && len(ts) == 1 && ts[0].status < 500 && !ts[0].leaving
 	if plain && d.plainSuccesses.Add(1)%successSampling != 0 {
 		return
 	}
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -63,6 +63,8 @@
 	// NotRun is set if the upstream states that it did not run the request.
 	NotRun bool
 	Report *balancer.Report
+	// Leaving is set if the upstream announces that it is about to stop.
+	Leaving bool
 }
 
 // WithHeaderCodec makes the driver serve routes with the headers that c parses and sets.
