End requests to an upstream once it announces that it leaves

Cause: the reducer stops using an upstream whose response, refusal or probe announces a drain, but the platform adapter decoded no such header, so that on the platform only the store could end the flow. An entry that can't read the store, or reads a registration that still says ready, went on for as long as the server answered. The class: a rule of the product that the adapter does not connect, so that it holds in the product's tests and not on the platform. The same look found three further holes behind it: a request whose preflight probe was in flight when the upstream began to leave was sent all the same; a registration that expires and comes back made the upstream a new one; and headers of responses that are late, truncated or for a cancelled attempt were dropped.

Change: the dialer shows the head of each final response, and the driver reports what it announces as an event of its own (UpstreamAnnounced) before the response is used. A pool keeps announcements by name and start of the upstream, beyond its registration. Only a later start ends one: a leaving upstream says so until it exits. If all upstreams of a service leave, its requests are refused at once as not run, with a time to retry.

TestAnnouncedLeaving, TestAnnouncedDuringProbe, TestAllLeaving and TestObserve fail if the line that each guards is taken out.

--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -75,7 +75,8 @@
 	withoutSlowdown int
 	saturation      saturation
 	// fullShare is the share of recent preflight probes that found the upstream full.
-	fullShare float64
+	fullShare  float64
+	departures departures
 	warmSet
 }
 
@@ -103,6 +104,8 @@
 	Name        string
 	Address     netip.AddrPort
 	Connections int
+	// Born distinguishes two starts of an upstream under the same name; 0 means unknown.
+	Born int64
 	// Fresh requires a new connection.
 	Fresh bool
 }
@@ -114,6 +117,7 @@
 		dataCentre: dataCentre,
 		byName:     make(map[string]*upstream),
 		ranks:      make(map[string]*rankLatency),
+		departures: make(departures),
 		maxEntries: 1,
 	}
 }
@@ -135,10 +139,14 @@
 				known.beginSlowStart(now, joinSlowStart)
 			}
 		}
-		if known.Draining && !u.Draining {
+		announced := p.departures.contains(now, incarnation{u.Name, u.Born})
+		if known.Draining && !u.Draining && !announced {
 			p.rejoin(now, known)
 		}
 		known.Upstream = u
+		if announced && !known.signalled {
+			p.recordDrainSignal(now, known)
+		}
 		known.fairShare = p.fairShare(u.Slots, s.MaxEntries)
 		byName[u.Name] = known
 		p.upstreams = append(p.upstreams, known)
@@ -170,7 +178,7 @@
 	p.markUsed(now, best)
 	a := best.startAttempt(now, p.rank(requirements.Rank))
 	return Choice{
-		Attempt: a, Name: best.Name, Address: best.Address,
+		Attempt: a, Name: best.Name, Address: best.Address, Born: best.Born,
 		Connections: p.connectionShare(best), Fresh: best.needsNewConnection(now, requirements),
 	}, true
 }
--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -42,8 +42,8 @@
 
 // exchange is a request in flight.
 type exchange struct {
+	RoundTripOptions
 	request *http.Request
-	match   Matcher
 	result  chan result
 	// written receives the result of writing the request.
 	written chan error
@@ -101,9 +101,9 @@
 	return true
 }
 
-func (c *conn) roundTrip(req *http.Request, match Matcher) (*http.Response, error) {
+func (c *conn) roundTrip(req *http.Request, options RoundTripOptions) (*http.Response, error) {
 	ctx := req.Context()
-	x := &exchange{request: req, match: match, result: make(chan result, 1), written: make(chan error, 1)}
+	x := &exchange{RoundTripOptions: options, request: req, result: make(chan result, 1), written: make(chan error, 1)}
 	if !c.setPending(x) {
 		return nil, errClosed
 	}
@@ -205,7 +205,10 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		if x.match != nil && !x.match(resp) {
+		if x.Observe != nil {
+			x.Observe(resp.StatusCode, resp.Header)
+		}
+		if x.Match != nil && !x.Match(resp) {
 			mismatched++
 			if err := discardBody(resp); err != nil || mismatched > maxMismatched {
 				return errMismatched
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -219,3 +220,35 @@
 	}
 	is.Equal(p.Opened(), uint64(2))
 }
+
+// TestObserve guards against responses whose headers are not seen because the response
+// belongs to another request or its body is cut off.
+func TestObserve(t *testing.T) {
+	for _, c := range []struct {
+		name, step string
+		want       []string
+	}{
+		{"plain", okResponse("1", "a"), []string{"1"}},
+		{"late response to an earlier request first", okResponse("0", "x") + okResponse("1", "a"), []string{"0", "1"}},
+		{"interim", "HTTP/1.1 100 Continue\r\nId: 0\r\n\r\n" + okResponse("1", "a"), []string{"1"}},
+		{"truncated", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nabcreset", []string{"1"}},
+		{"only a response to another request", okResponse("0", "x") + "reset", []string{"0"}},
+		{"no response", "reset", nil},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			p := New(startUpstream(t, c.step), 2)
+			var mu sync.Mutex
+			var got []string
+			observe := func(_ int, h http.Header) {
+				mu.Lock()
+				defer mu.Unlock()
+				got = append(got, h.Get("Id"))
+			}
+			_, _, _ = get(context.Background(), p, RoundTripOptions{Match: matchID("1"), Observe: observe})
+			mu.Lock()
+			defer mu.Unlock()
+			is.Equal(got, c.want)
+		})
+	}
+}
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -40,6 +40,9 @@
 	MaxIdle time.Duration
 	// Match reports whether a response belongs to the request; nil accepts every response.
 	Match Matcher
+	// Observe, if not nil, is called with the status and the headers of each final response
+	// that is read for the request, also of one that does not belong to it.
+	Observe func(status int, h http.Header)
 }
 
 // SendStatus reports how far the sending of a request got.
@@ -92,7 +95,7 @@
 		return nil, sent, err
 	}
 	sent.Connected = true
-	resp, err := c.roundTrip(req, options.Match)
+	resp, err := c.roundTrip(req, options)
 	sent.Bytes = c.wroteBytes.Load()
 	return resp, sent, err
 }
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -27,7 +27,7 @@
 	panics       prometheus.Counter
 	storeReads   *prometheus.CounterVec
 	// leavingResponses counts responses of upstreams that announced that they leave.
-	leavingResponses *prometheus.CounterVec
+	leavingResponses prometheus.Counter
 }
 
 // The latency target for one hop is 0.42 ms. 15 doublings of 0.25 ms reach 8 s,
@@ -45,12 +45,14 @@
 		inFlight: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: namespace, Name: "requests_in_flight", Help: "Requests in progress.",
 		}),
-		attempts:         newCounterVec("attempts_total", "Attempts by service, upstream and result.", "service", "upstream", "result"),
-		probes:           newCounterVec("probes_total", "Probes of upstreams by service and success.", "service", "ok"),
-		probeSeconds:     newCounterVec("probe_seconds_total", "Time spent waiting for probes.", "service"),
-		storeReads:       newCounterVec("store_reads_total", "Reads of the platform's store by topic and success.", "topic", "ok"),
-		leavingResponses: newCounterVec("leaving_responses_total", "Responses in which an upstream announced that it leaves, by service.", "service"),
-		stateChanges:     newCounterVec("state_changes_total", "Entries of the audit trail made by this entry, by action.", "action"),
+		attempts:     newCounterVec("attempts_total", "Attempts by service, upstream and result.", "service", "upstream", "result"),
+		probes:       newCounterVec("probes_total", "Probes of upstreams by service and success.", "service", "ok"),
+		probeSeconds: newCounterVec("probe_seconds_total", "Time spent waiting for probes.", "service"),
+		storeReads:   newCounterVec("store_reads_total", "Reads of the platform's store by topic and success.", "topic", "ok"),
+		stateChanges: newCounterVec("state_changes_total", "Entries of the audit trail made by this entry, by action.", "action"),
+		leavingResponses: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: namespace, Name: "leaving_responses_total", Help: "Responses in which an upstream announced that it leaves.",
+		}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: namespace, Name: "panics_total", Help: "Panics recovered.",
 		}),
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -63,8 +63,11 @@
 	// NotRun is set if the upstream states that it did not run the request.
 	NotRun bool
 	Report *balancer.Report
-	// Leaving is set if the upstream announces that it is about to stop.
-	Leaving bool
+	// Upstream names the upstream that responded, empty if the response does not tell.
+	Upstream string
+	// Announcement is what the upstream to which the request was sent states about
+	// itself. It is zero if another one responded.
+	balancer.Announcement
 }
 
 // WithHeaderCodec makes the driver serve routes with the headers that c parses and sets.
@@ -194,7 +197,7 @@
 	d.mu.Lock()
 	p := d.managedPool(e.Service, e.Address, max(e.Connections, 1))
 	d.mu.Unlock()
-	resp, _, err := p.RoundTrip(req, dialer.RoundTripOptions{})
+	resp, _, err := p.RoundTrip(req, dialer.RoundTripOptions{Observe: d.observer(e.Service, e.Upstream, e.Born)})
 	if err != nil {
 		return ev
 	}
@@ -241,7 +244,7 @@
 }
 
 func (d *Driver) roundTripOptions(e reducer.Dispatch, c *call) dialer.RoundTripOptions {
-	options := dialer.RoundTripOptions{Fresh: e.Fresh}
+	options := dialer.RoundTripOptions{Fresh: e.Fresh, Observe: d.observer(e.Service, e.Upstream, e.Born)}
 	if c.onceOnly {
 		options.MaxIdle = onceOnlyMaxIdle
 	}
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -91,6 +91,7 @@
 		d.attemptFailed(e, a, failureOf(e, a, connected), sent)
 		return
 	}
+	d.announce(e.Service, e.Upstream, e.Born, balancer.Announcement{Leaving: resp.header.Get(headerDraining) != ""})
 	err = resp.buffered.read(resp.rest, resp.size, maxBufferedResponse)
 	switch {
 	case errors.Is(err, io.EOF):
@@ -190,20 +191,15 @@
 	a.deadlineTimer.Stop()
 	d.metrics.observeAttempt(e.Service, e.Upstream, balancer.FailureNone)
 	ev := reducer.UpstreamAnswered{Attempt: a.id, Status: resp.status, Whole: resp.complete}
-	leaving := false
 	if d.codec != nil {
 		head := d.codec.ParseResponse(resp.status, resp.header)
 		ev.NotRun = head.NotRun
 		ev.Report = head.Report
-		leaving = head.Leaving
+		ev.Draining = head.Leaving
 	} else {
 		ev.NotRun = resp.header.Get(headerNotRun) != ""
 		ev.Draining = resp.header.Get(headerDraining) != ""
 		ev.Report = parseReport(resp.header.Get(headerLoad))
-		leaving = ev.Draining
-	}
-	if leaving {
-		d.metrics.leavingResponses.WithLabelValues(e.Service).Inc()
 	}
 	if e.StoreAnswer && resp.complete {
 		ev.Body = resp.buffered.body
@@ -217,7 +213,7 @@
 		return
 	}
 	a.response = resp
-	a.trace.gotResponse(resp.status, ev.NotRun, leaving)
+	a.trace.gotResponse(resp.status, ev.NotRun, ev.Draining)
 	ev.Stamp = stamp()
 	d.step(ev)
 	if ev.NotRun && a.response != nil && d.attempts[a.id] == a {
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -19,6 +19,8 @@
 	Rank     string
 	Upstream string
 	Address  netip.AddrPort
+	// Born is the start of the upstream, 0 if unknown.
+	Born int64
 	// Connections limits the connections of this entry to the upstream.
 	Connections int
 	Deadline    time.Time
@@ -65,6 +67,8 @@
 	Service  string
 	Upstream string
 	Address  netip.AddrPort
+	// Born is the start of the upstream, 0 if unknown.
+	Born int64
 	// Connections limits the connections of this entry to the upstream; 0 means one.
 	Connections int
 	// Path is the path to probe; empty means the entry's default.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -105,6 +105,17 @@
 	Report   *balancer.Report
 }
 
+// UpstreamAnnounced reports what an upstream stated about itself in the headers of a
+// response, whether or not the response is used.
+type UpstreamAnnounced struct {
+	Stamp
+	Service  string
+	Upstream string
+	// Born is copied from the Dispatch or Probe effect.
+	Born int64
+	balancer.Announcement
+}
+
 // TimerFired reports that the deadline of the last SetTimer effect has passed.
 type TimerFired struct{ Stamp }
 
@@ -209,6 +220,7 @@
 func (UpstreamFinished) event()    {}
 func (AttemptFailed) event()       {}
 func (ProbeAnswered) event()       {}
+func (UpstreamAnnounced) event()   {}
 func (TimerFired) event()          {}
 func (PeerMessageReceived) event() {}
 func (PeerUnreachable) event()     {}
--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -29,6 +29,8 @@
 	// effects are the effects of the last step.
 	effects       []reducer.Effect
 	timerDeadline time.Time
+	// lastID is the ID of the last request of sentTo.
+	lastID reducer.RequestID
 }
 
 func newManagedNode(t *testing.T, seeds ...netip.AddrPort) *managedNode {
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -115,6 +115,8 @@
 		n.attemptFailed(ev)
 	case ProbeAnswered:
 		n.probeAnswered(ev)
+	case UpstreamAnnounced:
+		n.upstreamAnnounced(ev)
 	case HostsListed:
 		n.markLeavingUpstreams(ev)
 		n.hostsListed(ev)
--- a/internal/reducer/preflight.go
+++ b/internal/reducer/preflight.go
@@ -60,7 +60,7 @@
 	r.preflights++
 	r.totalPreflights++
 	n.emit(Probe{
-		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Connections: c.Connections,
+		Request: r.id, Service: s.config.Name, Upstream: c.Name, Address: c.Address, Born: c.Born, Connections: c.Connections,
 		Path: s.config.ProbePath, Deadline: n.now.Add(preflightTimeout),
 	})
 	return true
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -142,6 +142,9 @@
 		r.queued = false
 		n.refuseRequest(r, classifier.DeadlineUnreachable)
 	}
+	if s.pool.AllLeaving() {
+		n.refuseWithoutUpstreams(s)
+	}
 	for len(skipped) < maxSkipped {
 		it, ok := s.queue.Next()
 		if !ok {
@@ -191,7 +194,7 @@
 	r.service.queue.Started(r.rank.Name)
 	n.emit(Dispatch{
 		Attempt: a.id, Service: r.service.config.Name, Rank: r.rank.Name,
-		Upstream: c.Name, Address: c.Address, Connections: c.Connections,
+		Upstream: c.Name, Address: c.Address, Born: c.Born, Connections: c.Connections,
 		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil, Known: c.Attempt.Condition,
 	})
 	n.scheduleHedge(r)
