Keep no departed upstream because one entry could not read the store

Cause: after failed reads of 2 s or more an entry waits up to 2 s for upstreams whose registration may have expired in an outage of the store, and its copies make all other entries wait too. It did so also when only its own path to the store had failed and the others read the store all the while. A registration that was removed in that time stayed in force at every entry: up to 0.8 s until the next read plus 2 s of waiting, 2.8 s in all. The class: a private failure taken for one of the shared service, and passed on as a fact.

Change: an entry takes failed reads for an outage only if no peer sent it a copy either, and accepts the remaining grace period of a peer only if it was without knowledge of the store as well, or has just started.

Evidence: TestReadFailureOfOneEntry failed before in both cases (2 upstreams instead of 1); TestOutageOfStore and TestStartInOutageOfStore hold what the grace period is for.

--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -117,6 +117,7 @@
 		return
 	}
 	r := &n.follow.readers[c.Topic]
+	uninformed := r.uninformed(n.now)
 	switch {
 	case c.Whole && (!r.loaded || c.Next > r.next):
 		r.loaded = true
@@ -131,7 +132,10 @@
 		return
 	}
 	r.lastCopyAt = n.now
-	if c.LapseLeft > 0 {
+	if !c.Whole {
+		r.informedAt = n.now
+	}
+	if c.LapseLeft > 0 && uninformed {
 		n.follow.registrar.RegistryResumed(later(n.follow.registrar.RenewalGraceEnd(), n.now.Add(c.LapseLeft)))
 	}
 	if c.Next == r.next && !c.Whole {
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -50,8 +50,8 @@
 	// newerReadInterval is the minimum time between two reads of the document that
 	// are made because a peer has a newer version.
 	newerReadInterval = 500 * time.Millisecond
-	// minOutage is the duration from which an outage of the store may have let
-	// registrations expire.
+	// minOutage is the time without knowledge of the store, after failed reads, from
+	// which registrations may have expired because of an outage of the store.
 	minOutage = 2 * time.Second
 	// managedBudgetFactor is the share of the allowed retries and probes that is
 	// used. The rest is margin, since an external check of the limits counts
@@ -180,6 +180,9 @@
 	failedAt time.Time
 	// lastCopyAt is when a peer last sent a copy of what it read.
 	lastCopyAt time.Time
+	// informedAt is when this entry or a peer that sent a copy last read the store;
+	// zero if neither did. A copy of all that a peer knows may be older.
+	informedAt time.Time
 	// failedReadStartedAt is when the last failed read began.
 	failedReadStartedAt time.Time
 	// inProgress is set while a read is in progress.
@@ -191,6 +194,11 @@
 	uncopied bool
 }
 
+// uninformed reports whether the entry has learned nothing of the topic for so long that
+// registrations may have expired in an outage of the store. As long as peers send copies,
+// only the entry's own path to the store has failed.
+func (r *topicReader) uninformed(now time.Time) bool { return now.Sub(r.informedAt) >= minOutage }
+
 func newStoreFollower() storeFollower {
 	return storeFollower{registrar: registrar.New(), config: &patcher.Config{}, routes: router.New(nil)}
 }
@@ -234,6 +242,7 @@
 	if !r.failedAt.IsZero() {
 		n.storeRecovered(ev.Topic, r)
 	}
+	r.informedAt = n.now
 	from := r.next
 	r.next = ev.Next
 	r.end = 0
@@ -263,7 +272,7 @@
 }
 
 func (n *Node) storeRecovered(t Topic, r *topicReader) {
-	if t == TopicUpstreams && n.now.Sub(r.failedAt) >= minOutage {
+	if t == TopicUpstreams && r.loaded && r.uninformed(n.now) {
 		n.follow.registrar.RegistryResumed(later(r.failedReadStartedAt.Add(registrar.RenewalGracePeriod), n.now.Add(minRenewalGrace)))
 	}
 	r.failedAt = time.Time{}
--- a/internal/reducer/message.go
+++ b/internal/reducer/message.go
@@ -54,7 +54,8 @@
 	Removed []RemovedCopy `cbor:",omitempty"`
 	// Skipped is set if the records are too large to be copied to each entry.
 	Skipped bool `cbor:",omitempty"`
-	// LapseLeft is how much longer registrations may be missing because of an outage.
+	// LapseLeft is how much longer registrations may be missing because of an outage. It
+	// concerns only receivers that were without knowledge of the store as well.
 	LapseLeft time.Duration `cbor:",omitempty"`
 }
 
