Send no requests to an upstream before the time that it asked for

Cause: the adapter did not decode Retry-After in refusals of upstreams. A refusal paused an upstream for 2 ms whatever it asked for. The same class as the announcement of leaving: known to HTTP, not connected.

The pool pauses the upstream until then for this entry; a shorter time named later does not shorten it, a later start of the upstream ends it. A preflight probe that was in flight does not lead there. Requests that no upstream takes before their deadline are refused at once as not run, with the time at which one opens again.

--- a/internal/admitter/admitter.go
+++ b/internal/admitter/admitter.go
@@ -193,6 +193,17 @@
 	return true
 }
 
+// Items returns the waiting requests, by rank.
+func (q *Queue) Items() []Item {
+	out := make([]Item, 0, len(q.waiting))
+	for _, r := range q.ranks {
+		for _, w := range r.items {
+			out = append(out, w.Item)
+		}
+	}
+	return out
+}
+
 // Started counts an attempt of a rank that holds a slot until Ended.
 func (q *Queue) Started(rank string) { q.addRunning(rank, 1) }
 
--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -11,6 +11,9 @@
 type Announcement struct {
 	// Leaving is set if the upstream is about to stop and wants no new requests.
 	Leaving bool
+	// RetryAt is the time before which the upstream wants no requests from this entry;
+	// zero if it names none.
+	RetryAt time.Time
 }
 
 // incarnation identifies one start of an upstream.
@@ -25,13 +28,25 @@
 // Announce applies what one start of an upstream stated about itself. It may be called
 // for an upstream that is not in the configuration.
 func (p *Pool) Announce(now time.Time, name string, born int64, a Announcement) {
-	if !a.Leaving {
+	if a.Leaving {
+		p.departures.add(now, incarnation{name, born})
+	}
+	u, ok := p.byName[name]
+	if !ok || u.Born != born {
 		return
 	}
-	p.departures.add(now, incarnation{name, born})
-	if u, ok := p.byName[name]; ok && u.Born == born {
+	if a.Leaving {
 		p.recordDrainSignal(now, u)
 	}
+	u.pause(a.RetryAt)
+}
+
+// pause keeps new requests from the upstream until the given time, or until a later time
+// that was set before.
+func (u *upstream) pause(until time.Time) {
+	if until.After(u.pausedUntil) {
+		u.pausedUntil = until
+	}
 }
 
 // add records an announcement. Without a known start, a later upstream of the same name
@@ -53,12 +68,22 @@
 	return ok && !now.After(expiresAt)
 }
 
-// AllLeaving reports whether the pool has upstreams but all of them are leaving.
-func (p *Pool) AllLeaving() bool {
+// OpensAt returns the earliest time from which an upstream may get requests; it reports
+// false if the pool has upstreams but all of them are leaving. Load, ejections and slow
+// starts are not considered, since they may end at any time.
+func (p *Pool) OpensAt(now time.Time) (time.Time, bool) {
+	var opensAt time.Time
 	for _, u := range p.upstreams {
-		if !u.leaving() {
-			return false
+		switch {
+		case u.leaving():
+		case !u.pausedUntil.After(now):
+			return now, true
+		case opensAt.IsZero() || u.pausedUntil.Before(opensAt):
+			opensAt = u.pausedUntil
 		}
 	}
-	return len(p.upstreams) > 0
+	if len(p.upstreams) == 0 {
+		return now, true
+	}
+	return opensAt, !opensAt.IsZero()
 }
--- a/internal/balancer/slowdown.go
+++ b/internal/balancer/slowdown.go
@@ -77,10 +77,11 @@
 
 // Suitable reports whether the preflight probe of an attempt found the upstream able
 // to serve at once. With allowSlow, which is for requests that are late in any case, a
-// slow upstream is suitable too. One that began to leave during the probe is not.
-func (p *Pool) Suitable(a *Attempt, allowSlow bool) bool {
+// slow upstream is suitable too. One that began to leave or asked for a pause during the
+// probe is not.
+func (p *Pool) Suitable(now time.Time, a *Attempt, allowSlow bool) bool {
 	u := a.upstream
-	return !u.leaving() && u.running < p.usableSlots(u) && (allowSlow || u.slowdown < slowThreshold)
+	return !u.leaving() && !now.Before(u.pausedUntil) && u.running < p.usableSlots(u) && (allowSlow || u.slowdown < slowThreshold)
 }
 
 // RecordPreflightProbe records whether the preflight probe of an attempt found the upstream full;
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -72,7 +72,8 @@
 	probeFailedAt time.Time
 	// ceiling bounds the requests in flight of this entry; it is lowered when the
 	// upstream sheds a request and raised with each response.
-	ceiling     float64
+	ceiling float64
+	// pausedUntil is when the upstream may get new requests again after it refused one.
 	pausedUntil time.Time
 	// window bounds the requests in flight of less urgent ranks to slightly more than
 	// were recently in flight.
@@ -146,7 +147,7 @@
 
 func (u *upstream) recordShed(now time.Time) {
 	u.ceiling = max(min(u.ceiling, float64(u.inFlight+1))*shedFactor, 1)
-	u.pausedUntil = now.Add(shedPause)
+	u.pause(now.Add(shedPause))
 }
 
 // raiseLimits raises the ceiling, and the window if it was used up. Without the window
--- a/internal/driver/announce.go
+++ b/internal/driver/announce.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
@@ -12,7 +13,7 @@
 // whose body is cut off, states as much about the upstream as any other.
 func (d *Driver) observer(service, upstream string, born int64) func(int, http.Header) {
 	return func(status int, h http.Header) {
-		head := d.codec.ParseResponse(status, h)
+		head := d.codec.ParseResponse(status, h, time.Now())
 		if head.Upstream == "" || head.Upstream == upstream {
 			d.announce(service, upstream, born, head.Announcement)
 		}
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -40,8 +40,9 @@
 	ParseRequest(h http.Header, now time.Time) RequestHead
 	// SetForwardHeaders sets the headers of a request to an upstream.
 	SetForwardHeaders(h http.Header, deadline, now time.Time, upstream string)
-	// ParseResponse parses the status and the headers of an upstream's response.
-	ParseResponse(status int, h http.Header) ResponseHead
+	// ParseResponse parses the status and the headers of an upstream's response; now is
+	// the time at which they were read.
+	ParseResponse(status int, h http.Header, now time.Time) ResponseHead
 	// SetRefusalHeaders sets the headers of a refusal; after is the time after which the caller may retry.
 	SetRefusalHeaders(h http.Header, after time.Duration)
 }
@@ -205,7 +206,7 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxReport)); err != nil {
 		return ev
 	}
-	head := d.codec.ParseResponse(resp.StatusCode, resp.Header)
+	head := d.codec.ParseResponse(resp.StatusCode, resp.Header, time.Now())
 	ev.OK = resp.StatusCode == http.StatusOK
 	ev.Report = head.Report
 	return ev
@@ -250,7 +251,7 @@
 	}
 	if c.callerRequestID != "" {
 		options.Match = func(r *http.Response) bool {
-			id := d.codec.ParseResponse(r.StatusCode, r.Header).ID
+			id := d.codec.ParseResponse(r.StatusCode, r.Header, time.Now()).ID
 			return id == "" && r.StatusCode >= http.StatusBadRequest || id == c.callerRequestID
 		}
 	}
@@ -261,7 +262,7 @@
 // bear the upstream's signature, and a status which tells the caller that its
 // request did not run needs an explicit statement of the upstream.
 func (d *Driver) usable(resp *response) bool {
-	head := d.codec.ParseResponse(resp.status, resp.header)
+	head := d.codec.ParseResponse(resp.status, resp.header, time.Now())
 	if head.NotRun {
 		return true
 	}
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -192,7 +192,7 @@
 	d.metrics.observeAttempt(e.Service, e.Upstream, balancer.FailureNone)
 	ev := reducer.UpstreamAnswered{Attempt: a.id, Status: resp.status, Whole: resp.complete}
 	if d.codec != nil {
-		head := d.codec.ParseResponse(resp.status, resp.header)
+		head := d.codec.ParseResponse(resp.status, resp.header, time.Now())
 		ev.NotRun = head.NotRun
 		ev.Report = head.Report
 		ev.Draining = head.Leaving
--- a/internal/reducer/announce.go
+++ b/internal/reducer/announce.go
@@ -7,7 +7,8 @@
 )
 
 // replacementDelay is the time after which a caller may retry a request for which no
-// upstream is left. A new upstream is known at the latest after a read of the store.
+// upstream is left: a new upstream becomes known with a read of the store. It also limits
+// the random delay by which retries are spread.
 const replacementDelay = pollInterval
 
 // upstreamAnnounced applies what an upstream stated about itself.
@@ -21,18 +22,25 @@
 	n.dispatchWaiting(s)
 }
 
-// refuseWithoutUpstreams refuses the waiting requests of a service whose upstreams are
-// all leaving. A random delay of up to the same length is added to spread the retries.
-func (n *Node) refuseWithoutUpstreams(s *service) {
-	for {
-		it, ok := s.queue.Next()
-		if !ok {
-			return
+// refuseUnservable refuses the waiting requests that no upstream can serve before their
+// deadline, since all are leaving or want no requests until later. A random delay is added
+// to the time of the retry, so that callers do not all return at once.
+func (n *Node) refuseUnservable(s *service) {
+	opensAt, ok := s.pool.OpensAt(n.now)
+	if !ok {
+		opensAt = n.now.Add(replacementDelay)
+	}
+	if !opensAt.After(n.now) {
+		return
+	}
+	for _, it := range s.queue.Items() {
+		if ok && opensAt.Before(it.Deadline) {
+			continue
 		}
 		s.queue.Remove(it.ID)
 		r := n.requests[RequestID(it.ID)]
 		r.queued = false
-		r.retryAt = n.now.Add(replacementDelay + time.Duration(n.random.Int64N(int64(replacementDelay))))
+		r.retryAt = opensAt.Add(time.Duration(n.random.Int64N(int64(replacementDelay))))
 		n.refuseRequest(r, classifier.NoUpstream)
 	}
 }
--- a/internal/reducer/announce_test.go
+++ b/internal/reducer/announce_test.go
@@ -123,21 +123,67 @@
 }
 
 // TestAnnouncedDuringProbe guards against a request that is sent to an upstream because
-// it was chosen before the upstream announced that it leaves.
+// it was chosen before the upstream announced that it leaves or wants no requests.
 func TestAnnouncedDuringProbe(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		announced func(now time.Time) balancer.Announcement
+	}{
+		{"leaving", func(time.Time) balancer.Announcement { return leaving }},
+		{"pause", func(now time.Time) balancer.Announcement { return balancer.Announcement{RetryAt: now.Add(time.Second)} }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newManagedNode(t)
+			m.startWithBorn(patcher.Unrepeatable, "u1", "u2")
+			m.request(1, time.Second)
+			p, ok := lastEffect[reducer.Probe](m)
+			is.True(ok)
+			m.announce(p.Upstream, 1, c.announced(m.now))
+			m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: 1, Service: p.Service, Upstream: p.Upstream, OK: true, Report: &balancer.Report{Pace: 1}})
+			_, sent := lastEffect[reducer.Dispatch](m)
+			is.True(!sent)
+			next, ok := lastEffect[reducer.Probe](m)
+			is.True(ok)
+			is.True(next.Upstream != p.Upstream)
+		})
+	}
+}
+
+// TestAnnouncedPause guards against requests before the end of a pause that an upstream
+// asked for, also if a later refusal names a shorter one, and against requests that wait
+// for the end of pauses although their deadline comes first.
+func TestAnnouncedPause(t *testing.T) {
 	is := is.New(t)
 	m := newManagedNode(t)
-	m.startWithBorn(patcher.Unrepeatable, "u1", "u2")
-	m.request(1, time.Second)
-	p, ok := lastEffect[reducer.Probe](m)
-	is.True(ok)
-	m.announce(p.Upstream, 1, leaving)
-	m.step(reducer.ProbeAnswered{Stamp: m.stamp(), Request: 1, Service: p.Service, Upstream: p.Upstream, OK: true, Report: &balancer.Report{Pace: 1}})
-	_, sent := lastEffect[reducer.Dispatch](m)
-	is.True(!sent)
-	next, ok := lastEffect[reducer.Probe](m)
-	is.True(ok)
-	is.True(next.Upstream != p.Upstream)
+	m.startWithBorn(patcher.Idempotent, "u1", "u2")
+	m.announce("u1", 1, balancer.Announcement{RetryAt: m.now.Add(2 * time.Second)})
+	m.announce("u1", 1, balancer.Announcement{RetryAt: m.now.Add(time.Second)})
+	is.Equal(m.sentTo("u1", 90), 0) // 1.8 s
+	m.advance(300 * time.Millisecond)
+	is.True(m.sentTo("u1", 30) > 0)
+	opensAt := m.now.Add(500 * time.Millisecond)
+	m.announce("u1", 1, balancer.Announcement{RetryAt: opensAt})
+	m.announce("u2", 1, balancer.Announcement{RetryAt: opensAt.Add(time.Second)})
+	m.request(1001, 400*time.Millisecond)
+	r, refused := lastEffect[reducer.Refuse](m)
+	is.True(refused)
+	is.Equal(r.Outcome, classifier.OutcomeNotRun)
+	is.True(!r.RetryAt.Before(opensAt))
+	m.request(1002, time.Second)
+	_, refused = lastEffect[reducer.Refuse](m)
+	is.True(!refused)
+	for m.now.Before(opensAt.Add(50 * time.Millisecond)) {
+		_, probed := lastEffect[reducer.Probe](m)
+		is.True(!probed)
+		m.advance(10 * time.Millisecond)
+		if p, ok := lastEffect[reducer.Probe](m); ok {
+			is.Equal(p.Upstream, "u1")
+			is.True(!m.now.Before(opensAt))
+			return
+		}
+	}
+	t.Fatal("the request was not dispatched after the pause")
 }
 
 // TestAllLeaving guards against requests that wait until their deadline although no
--- a/internal/reducer/preflight.go
+++ b/internal/reducer/preflight.go
@@ -131,7 +131,7 @@
 		s.pool.Release(c.Attempt)
 		return
 	}
-	if (ev.OK || ev.Report != nil) && s.pool.Suitable(c.Attempt, n.missesTarget(r)) {
+	if (ev.OK || ev.Report != nil) && s.pool.Suitable(n.now, c.Attempt, n.missesTarget(r)) {
 		n.launch(r, c, r.hedged)
 		return
 	}
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -142,9 +142,7 @@
 		r.queued = false
 		n.refuseRequest(r, classifier.DeadlineUnreachable)
 	}
-	if s.pool.AllLeaving() {
-		n.refuseWithoutUpstreams(s)
-	}
+	n.refuseUnservable(s)
 	for len(skipped) < maxSkipped {
 		it, ok := s.queue.Next()
 		if !ok {
