Show in logs and metrics the rate that an upstream names

Cause: the hypotheses of docs/incidents/2026-12-rate-limit.md can't be told apart: no log line or metric shows which rate an upstream names, from when to when, and which entry knows of it.

A pool keeps the rate; it ends with a response to a request sent after the rate was last named that does not name it. Lines UpstreamRateLimited and UpstreamRateUnlimited, gauge upstream_rate_limit.

--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -14,8 +14,13 @@
 	// RetryAt is the time before which the upstream wants no requests from this entry;
 	// zero if it names none.
 	RetryAt time.Time
+	// Rate is the rate of requests that the upstream takes, nil if it names none.
+	Rate *Rate
 }
 
+// IsZero reports whether the upstream states nothing.
+func (a Announcement) IsZero() bool { return a == Announcement{} }
+
 // incarnation identifies one start of an upstream.
 type incarnation struct {
 	name string
@@ -26,7 +31,8 @@
 type departures map[incarnation]time.Time
 
 // Announce applies what one start of an upstream stated about itself. It may be called
-// for an upstream that is not in the configuration.
+// for an upstream that is not in the configuration. A missing rate changes nothing, since
+// not every response needs to name it; see RateOmitted.
 func (p *Pool) Announce(now time.Time, name string, born int64, a Announcement) {
 	if a.Leaving {
 		p.departures.add(now, incarnation{name, born})
@@ -39,6 +45,7 @@
 		p.recordDrainSignal(now, u)
 	}
 	u.pause(a.RetryAt)
+	p.recordRate(now, u, a.Rate)
 }
 
 // pause keeps new requests from the upstream until the given time, or until a later time
--- a/internal/balancer/status.go
+++ b/internal/balancer/status.go
@@ -14,6 +14,12 @@
 	Leaving   State = "Leaving"
 )
 
+// Changes of an upstream that do not affect its State.
+const (
+	RateLimited   State = "RateLimited"
+	RateUnlimited State = "RateUnlimited"
+)
+
 // Status describes an upstream for the status page.
 type Status struct {
 	Name   string
@@ -23,6 +29,8 @@
 	InFlight int
 	// Latency is the moving average of the latency over all ranks, 0 if not known.
 	Latency time.Duration
+	// Rate is the rate of requests that the upstream takes from all entries, nil if it names none.
+	Rate *Rate `json:",omitempty"`
 }
 
 // Change is a change of an upstream's state.
@@ -41,7 +49,12 @@
 	out := make([]Status, 0, len(p.upstreams))
 	for _, u := range p.upstreams {
 		state, reason := u.state(now)
-		out = append(out, Status{Name: u.Name, State: state, Reason: reason, InFlight: u.inFlight, Latency: u.latency})
+		s := Status{Name: u.Name, State: state, Reason: reason, InFlight: u.inFlight, Latency: u.latency}
+		if u.limited {
+			rate := u.rate
+			s.Rate = &rate
+		}
+		out = append(out, s)
 	}
 	return out
 }
--- a/internal/balancer/upstream.go
+++ b/internal/balancer/upstream.go
@@ -51,6 +51,7 @@
 	health
 	drain
 	silence
+	rateLimit
 	// excluded is set while the upstream is in the pool's list of excluded ones.
 	excluded bool
 	probedAt time.Time
--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -205,10 +205,11 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
+		matched := x.Match == nil || x.Match(resp)
 		if x.Observe != nil {
-			x.Observe(resp.StatusCode, resp.Header)
+			x.Observe(resp.StatusCode, resp.Header, matched)
 		}
-		if x.Match != nil && !x.Match(resp) {
+		if !matched {
 			mismatched++
 			if err := discardBody(resp); err != nil || mismatched > maxMismatched {
 				return errMismatched
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -240,10 +240,11 @@
 			p := New(startUpstream(t, c.step), 2)
 			var mu sync.Mutex
 			var got []string
-			observe := func(_ int, h http.Header) {
+			observe := func(_ int, h http.Header, matched bool) {
 				mu.Lock()
 				defer mu.Unlock()
 				got = append(got, h.Get("Id"))
+				is.Equal(matched, h.Get("Id") == "1")
 			}
 			_, _, _ = get(context.Background(), p, RoundTripOptions{Match: matchID("1"), Observe: observe})
 			mu.Lock()
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -41,8 +41,8 @@
 	// Match reports whether a response belongs to the request; nil accepts every response.
 	Match Matcher
 	// Observe, if not nil, is called with the status and the headers of each final response
-	// that is read for the request, also of one that does not belong to it.
-	Observe func(status int, h http.Header)
+	// that is read for the request; matched is set if it belongs to the request.
+	Observe func(status int, h http.Header, matched bool)
 }
 
 // SendStatus reports how far the sending of a request got.
--- a/internal/driver/collector.go
+++ b/internal/driver/collector.go
@@ -22,6 +22,7 @@
 	descUpstream      = newDesc("upstream_state", "State of an upstream as this entry sees it; always 1.", "service", "upstream", "state")
 	descInFlight      = newDesc("upstream_in_flight", "Open requests of this entry at an upstream.", "service", "upstream")
 	descLatency       = newDesc("upstream_latency_seconds", "Smoothed latency of an upstream over all ranks.", "service", "upstream")
+	descRateLimit     = newDesc("upstream_rate_limit", "Requests per second that an upstream takes from all entries; missing if it names no rate.", "service", "upstream")
 	descMember        = newDesc("member_state", "State of an entry as this entry sees it, Suspected if it is silent; always 1.", "entry", "state")
 	descNewestVersion = newDesc("config_newest_version", "Highest configuration version that the entry has heard of.")
 	descLogAge        = newDesc("evidence_log_age_seconds", "Age of the newest evidence from the log; missing if there is none.")
@@ -38,7 +39,7 @@
 // Describe sends the descriptions of all metrics.
 func (c nodeCollector) Describe(ch chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		descUpstreams, descUpstream, descInFlight, descLatency, descMember, descNewestVersion,
+		descUpstreams, descUpstream, descInFlight, descLatency, descRateLimit, descMember, descNewestVersion,
 		descLogAge, descPeersAge, descEvidenceLeft, descLogReachable, descAuditBuffer, descAuditLost,
 	} {
 		ch <- d
@@ -108,6 +109,9 @@
 		sendGauge(ch, descUpstream, 1, s.name, u.Name, string(u.State))
 		sendGauge(ch, descInFlight, float64(u.InFlight), s.name, u.Name)
 		sendGauge(ch, descLatency, u.Latency.Seconds(), s.name, u.Name)
+		if u.Rate != nil {
+			sendGauge(ch, descRateLimit, float64(*u.Rate), s.name, u.Name)
+		}
 	}
 	for _, state := range upstreamStates {
 		sendGauge(ch, descUpstreams, float64(states[state]), s.name, string(state))
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -91,7 +91,10 @@
 		d.attemptFailed(e, a, failureOf(e, a, connected), sent)
 		return
 	}
-	d.announce(e.Service, e.Upstream, e.Born, balancer.Announcement{Leaving: resp.header.Get(headerDraining) != ""})
+	d.announce(reducer.UpstreamAnnounced{
+		Service: e.Service, Upstream: e.Upstream, Born: e.Born,
+		Announcement: balancer.Announcement{Leaving: resp.header.Get(headerDraining) != ""},
+	})
 	err = resp.buffered.read(resp.rest, resp.size, maxBufferedResponse)
 	switch {
 	case errors.Is(err, io.EOF):
--- a/internal/reducer/announce.go
+++ b/internal/reducer/announce.go
@@ -18,10 +18,19 @@
 		return
 	}
 	s.pool.Announce(n.now, ev.Upstream, ev.Born, ev.Announcement)
+	if ev.Rate == nil && !ev.SentAt.IsZero() {
+		s.pool.RateOmitted(n.now, ev.Upstream, ev.Born, ev.SentAt)
+	}
 	n.auditUpstreams(s)
 	n.dispatchWaiting(s)
 }
 
+// RateLimited reports whether an upstream names the rate of requests that it takes.
+func (n *Node) RateLimited(service, upstream string) bool {
+	s, ok := n.services[service]
+	return ok && s.pool.Limited(upstream)
+}
+
 // refuseUnservable refuses the waiting requests that no upstream can serve before their
 // deadline, since all are leaving or want no requests until later. A random delay is added
 // to the time of the retry, so that callers do not all return at once.
--- a/internal/reducer/event.go
+++ b/internal/reducer/event.go
@@ -114,6 +114,9 @@
 	// Born is copied from the Dispatch or Probe effect.
 	Born int64
 	balancer.Announcement
+	// SentAt is when the request was sent to which the response certainly belongs; zero
+	// if it may be a late response, or one that the upstream itself did not write.
+	SentAt time.Time
 }
 
 // TimerFired reports that the deadline of the last SetTimer effect has passed.
