Keep to the rate of requests that an upstream names, over all entries

Cause: the rate was not decoded, and the choice of an upstream knows only its load, which does not show the rate. Had each entry kept to the rate for itself, all of them together would have exceeded it: a limit on a shared resource that no entry could see by itself.

Change: entries divide the rate without messages, by the names of the entries that the exchange spreads: rendezvous hashing gives each upstream its own order, and the first floor(R)+1 of them send at equal intervals, with a credit of one request. Entries without a share check every 10 s by a health check whether the rate still applies. An entry that was cut off from at least half of the others halves its shares, which those take over after 10 s of silence. A preflight probe that shows a rate for the first time keeps the request from being sent without a share.

--- a/internal/balancer/announce.go
+++ b/internal/balancer/announce.go
@@ -75,18 +75,27 @@
 	return ok && !now.After(expiresAt)
 }
 
+// mayStartAt returns when the upstream takes the next request of this entry.
+func (u *upstream) mayStartAt() time.Time {
+	if u.limited && u.opensAt.After(u.pausedUntil) {
+		return u.opensAt
+	}
+	return u.pausedUntil
+}
+
 // OpensAt returns the earliest time from which an upstream may get requests; it reports
 // false if the pool has upstreams but all of them are leaving. Load, ejections and slow
 // starts are not considered, since they may end at any time.
 func (p *Pool) OpensAt(now time.Time) (time.Time, bool) {
 	var opensAt time.Time
 	for _, u := range p.upstreams {
+		at := u.mayStartAt()
 		switch {
 		case u.leaving():
-		case !u.pausedUntil.After(now):
+		case !at.After(now):
 			return now, true
-		case opensAt.IsZero() || u.pausedUntil.Before(opensAt):
-			opensAt = u.pausedUntil
+		case opensAt.IsZero() || at.Before(opensAt):
+			opensAt = at
 		}
 	}
 	if len(p.upstreams) == 0 {
--- a/internal/balancer/attempt.go
+++ b/internal/balancer/attempt.go
@@ -10,9 +10,18 @@
 	prev, next *Attempt
 	// unlinked is set once the attempt is no longer in the upstream's list of open attempts.
 	unlinked bool
+	// interval is the time by which the attempt delays the next one at an upstream that
+	// names a rate, 0 if the upstream names none.
+	interval time.Duration
+	// recheck is set if the attempt may be sent only after a health check has shown that
+	// the upstream no longer names a rate.
+	recheck bool
 	Condition
 }
 
+// Recheck reports whether the attempt must not be sent without a preflight probe.
+func (a *Attempt) Recheck() bool { return a.recheck }
+
 func (u *upstream) startAttempt(now time.Time, r *rankLatency) *Attempt {
 	a := &Attempt{upstream: u, rank: r, started: now, prev: u.newest, Condition: u.conditionNow(now)}
 	if u.newest != nil {
--- a/internal/balancer/balancer.go
+++ b/internal/balancer/balancer.go
@@ -77,6 +77,7 @@
 	// fullShare is the share of recent preflight probes that found the upstream full.
 	fullShare  float64
 	departures departures
+	entries    entries
 	warmSet
 }
 
@@ -177,6 +178,7 @@
 	}
 	p.markUsed(now, best)
 	a := best.startAttempt(now, p.rank(requirements.Rank))
+	p.takeShare(now, best, a)
 	return Choice{
 		Attempt: a, Name: best.Name, Address: best.Address, Born: best.Born,
 		Connections: p.connectionShare(best), Fresh: best.needsNewConnection(now, requirements),
@@ -248,6 +250,9 @@
 	if u.leaving() || !u.admits(now, requirements) || u.inFlight >= p.limit(now, u, requirements.Urgent) {
 		return false
 	}
+	if u.limited && now.Before(u.opensAt) {
+		return false
+	}
 	if u.tryingConnection() || p.skipped(now, u, requirements.AnyPace) {
 		return false
 	}
--- a/internal/balancer/slowdown.go
+++ b/internal/balancer/slowdown.go
@@ -68,19 +68,24 @@
 }
 
 // NeedsProbe reports whether a preflight probe should precede the attempt, since there is
-// no recent report of the upstream's load. It reports false if the upstreams of the
-// pool don't report their slowdown.
+// no recent report of the upstream's load or it may name a rate of which this entry has
+// no share. Otherwise it reports false if the upstreams of the pool don't report their
+// slowdown.
 func (p *Pool) NeedsProbe(now time.Time, a *Attempt) bool {
 	u := a.upstream
-	return (p.ReportsSlowdown() || p.withoutSlowdown < maxWithoutSlowdown) && now.Sub(u.reportedAt) >= freshReport
+	return a.recheck || (p.ReportsSlowdown() || p.withoutSlowdown < maxWithoutSlowdown) && now.Sub(u.reportedAt) >= freshReport
 }
 
 // Suitable reports whether the preflight probe of an attempt found the upstream able
 // to serve at once. With allowSlow, which is for requests that are late in any case, a
 // slow upstream is suitable too. One that began to leave or asked for a pause during the
-// probe is not.
+// probe is not, nor one that names a rate if the attempt has no share of it: the entry
+// has none, or did not know of the rate before the probe.
 func (p *Pool) Suitable(now time.Time, a *Attempt, allowSlow bool) bool {
 	u := a.upstream
+	if u.limited && a.interval == 0 {
+		return false
+	}
 	return !u.leaving() && !now.Before(u.pausedUntil) && u.running < p.usableSlots(u) && (allowSlow || u.slowdown < slowThreshold)
 }
 
@@ -115,6 +120,7 @@
 	a.upstream.inFlight--
 	a.unlinked = true
 	a.upstream.unlink(a)
+	a.upstream.returnShare(a)
 }
 
 // ProbeFailed records that an upstream did not answer a probe in time.
--- a/internal/driver/collector.go
+++ b/internal/driver/collector.go
@@ -1,6 +1,7 @@
 package driver
 
 import (
+	"math"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -22,7 +23,7 @@
 	descUpstream      = newDesc("upstream_state", "State of an upstream as this entry sees it; always 1.", "service", "upstream", "state")
 	descInFlight      = newDesc("upstream_in_flight", "Open requests of this entry at an upstream.", "service", "upstream")
 	descLatency       = newDesc("upstream_latency_seconds", "Smoothed latency of an upstream over all ranks.", "service", "upstream")
-	descRateLimit     = newDesc("upstream_rate_limit", "Requests per second that an upstream takes from all entries; missing if it names no rate.", "service", "upstream")
+	descRateLimit     = newDesc("upstream_rate_limit", "Requests per second that an upstream takes from all entries; infinite if it names no rate.", "service", "upstream")
 	descMember        = newDesc("member_state", "State of an entry as this entry sees it, Suspected if it is silent; always 1.", "entry", "state")
 	descNewestVersion = newDesc("config_newest_version", "Highest configuration version that the entry has heard of.")
 	descLogAge        = newDesc("evidence_log_age_seconds", "Age of the newest evidence from the log; missing if there is none.")
@@ -109,9 +110,11 @@
 		sendGauge(ch, descUpstream, 1, s.name, u.Name, string(u.State))
 		sendGauge(ch, descInFlight, float64(u.InFlight), s.name, u.Name)
 		sendGauge(ch, descLatency, u.Latency.Seconds(), s.name, u.Name)
+		rate := math.Inf(1)
 		if u.Rate != nil {
-			sendGauge(ch, descRateLimit, float64(*u.Rate), s.name, u.Name)
+			rate = float64(*u.Rate)
 		}
+		sendGauge(ch, descRateLimit, rate, s.name, u.Name)
 	}
 	for _, state := range upstreamStates {
 		sendGauge(ch, descUpstreams, float64(states[state]), s.name, string(state))
--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -35,8 +35,13 @@
 
 func newManagedNode(t *testing.T, seeds ...netip.AddrPort) *managedNode {
 	t.Helper()
-	m := &managedNode{t: t, now: time.Unix(1000, 0), reads: make(map[reducer.Topic]reducer.ReadStore)}
-	m.node = reducer.New(reducer.Options{Name: "e1", Incarnation: 1, DataCentre: "a", Seed: 1, Peers: seeds, Managed: &reducer.Managed{
+	return newNamedNode(t, "e1", time.Unix(1000, 0), seeds...)
+}
+
+func newNamedNode(t *testing.T, name string, now time.Time, seeds ...netip.AddrPort) *managedNode {
+	t.Helper()
+	m := &managedNode{t: t, now: now, reads: make(map[reducer.Topic]reducer.ReadStore)}
+	m.node = reducer.New(reducer.Options{Name: name, Incarnation: 1, DataCentre: "a", Seed: 1, Peers: seeds, Managed: &reducer.Managed{
 		AnswerPeriod: time.Second, RepeatRatio: 0.2, RepeatSlack: 60, ProbeRate: 60,
 	}})
 	m.execute(m.node.Start(m.now))
--- a/internal/reducer/members.go
+++ b/internal/reducer/members.go
@@ -59,6 +59,9 @@
 	n.runAt(m.nextGossipAt, n.gossip)
 	n.view.Forget(n.now)
 	n.refresh()
+	if n.Managed != nil {
+		n.shareRates()
+	}
 	n.disconnectSilent()
 	for _, t := range n.view.NextTargets(n.now, n.random) {
 		n.startExchange(t)
--- a/internal/reducer/preflight.go
+++ b/internal/reducer/preflight.go
@@ -69,16 +69,21 @@
 // skipPreflight handles an attempt that can't be preceded by a probe, because the
 // request has used up its probes (exhausted) or the entry its probe budget. The
 // attempt is sent unless most upstreams are full: it would only lengthen their
-// queues, and requests that are lost there are retried and add load. It reports
-// false if the request was queued again.
+// queues, and requests that are lost there are retried and add load. One that has no
+// share of the rate of its upstream is not sent either. It reports false if the
+// request was queued again.
 func (n *Node) skipPreflight(r *request, c balancer.Choice, hedged, exhausted bool) bool {
-	if !r.service.pool.MostlyFull() {
+	recheck := c.Attempt.Recheck()
+	if !recheck && !r.service.pool.MostlyFull() {
 		n.launch(r, c, hedged)
 		return true
 	}
 	r.service.pool.Release(c.Attempt)
 	switch {
 	case hedged:
+	case recheck:
+		n.requeue(r)
+		return false
 	case exhausted && len(r.attempts) == 0:
 		n.refuseSaturated(r)
 	default:
--- a/internal/reducer/service.go
+++ b/internal/reducer/service.go
@@ -42,6 +42,8 @@
 		hedgeBudget: &tokenBucket{tokens: maxTokens, capacity: maxTokens}, retryBudget: &tokenBucket{tokens: maxTokens, capacity: maxTokens},
 	}
 	if n.Managed != nil {
+		names, cutOff := n.rateSharers()
+		s.pool.SetEntries(n.Name, names, cutOff)
 		s.retryBudget = n.newManagedRetryBudget()
 		s.hedgeBudget = s.retryBudget
 	}
