End a response of an upstream that has no end

Seen: not reported from here; other operators' servers wrote bytes without end in a head or a body until the caller closed.

Cause: http.ReadResponse has no limit on the size of a head, so that an upstream could fill the memory of an entry until the attempt's deadline. A response to another request was discarded up to 1 MB and then closed, and closing a body of net/http reads it to its end.

Change: a head of more than 64 KB ends the connection, each interim one too; a body that is too long to be discarded ends it without being closed. Bodies that are relayed were bounded before (16 MB, and the memory for bodies).

Evidence: TestEndlessResponse, 5 of 9 cases ended only by the deadline before (status line, header line, header lines, interim response, response to another request); all end at once now.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -17,6 +17,8 @@
 
 const (
 	bufferSize = 4 << 10
+	// maxHead bounds the status line and the headers of a response, in bytes.
+	maxHead = 64 << 10
 	// maxMismatchedBody bounds the body of a discarded response to another request, in bytes.
 	maxMismatchedBody = 1 << 20
 	// maxMismatched bounds the responses to other requests that are discarded.
@@ -32,8 +34,37 @@
 var (
 	errMismatched = errors.New("the response belongs to another request")
 	errClosed     = errors.New("the connection closed before the response")
+	errHeadSize   = errors.New("the head of the response is too large")
 )
 
+// headLimiter is a reader that fails once the head of a response exceeds maxHead.
+type headLimiter struct {
+	io.Reader
+	// left is how many more bytes of a head may be read.
+	left int
+	// inHead is set while a head is read.
+	inHead bool
+}
+
+// begin starts to count the bytes of a head.
+func (l *headLimiter) begin() { l.left, l.inHead = maxHead, true }
+
+// end ends the head; the body is not limited.
+func (l *headLimiter) end() { l.inHead = false }
+
+// Read reads at most what the limit leaves.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.Reader.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errHeadSize
+	}
+	n, err := l.Reader.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
+
 // result is the response to a request or the error of the exchange.
 type result struct {
 	response *http.Response
@@ -54,6 +85,7 @@
 type conn struct {
 	net.Conn
 	pool        *Pool
+	head        *headLimiter
 	in          *bufio.Reader
 	wroteBytes  atomic.Bool
 	idleTimeout time.Duration
@@ -69,7 +101,8 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	return &conn{Conn: nc, pool: p, in: bufio.NewReaderSize(nc, bufferSize), idleTimeout: maxIdleTimeout}
+	head := &headLimiter{Reader: nc}
+	return &conn{Conn: nc, pool: p, head: head, in: bufio.NewReaderSize(head, bufferSize), idleTimeout: maxIdleTimeout}
 }
 
 // Write records that bytes of the request may have been sent.
@@ -198,7 +231,9 @@
 func (c *conn) readResponse(x *exchange) error {
 	mismatched := 0
 	for range maxResponses {
+		c.head.begin()
 		resp, err := http.ReadResponse(c.in, x.request) //nolint:bodyclose // The caller of RoundTrip closes it.
+		c.head.end()
 		if err != nil {
 			return err
 		}
@@ -222,8 +257,9 @@
 	return errMismatched
 }
 
+// discardBody reads a body to its end. If it is too long, the connection has to be
+// closed: closing the body would read the rest of it.
 func discardBody(resp *http.Response) error {
-	defer func() { _ = resp.Body.Close() }()
 	if resp.Close {
 		return errMismatched
 	}
