Let entries learn of each other within seconds

Cause: profiles of entries that are known only by the identifier in a digest are requested in the next message, mostly the Close of an exchange, which is never answered; the request was dropped there. Besides, a digest names mostly the entries heard last, so that the others were rarely mentioned. The retry budget and the directory were divided by the same short lists.

Change: a Close keeps the request for the next message that is answered. Up to 16 profiles are sent instead of 4, only to receivers that lack them. Where nobody uses the evidence from a majority (on the platform), a digest has mostly random rows for 15 s after an entry has learned of another.

--- a/internal/gossiper/exchange.go
+++ b/internal/gossiper/exchange.go
@@ -20,6 +20,13 @@
 // left more entries without evidence.
 const randomRows = 2
 
+// Where nobody uses the evidence, a digest has spreadRows random rows until spreadPeriod
+// after the entry learned of another one, so that all entries soon know each other.
+const (
+	spreadRows   = MaxRows - 2
+	spreadPeriod = 15 * time.Second
+)
+
 // maxSent bounds the messages whose send time is kept; a reply to an older one gives no evidence.
 const maxSent = 64
 
@@ -111,7 +118,6 @@
 	m := Exchange{
 		Step: step, Sequence: v.sequence, Echo: echo, Known: uint16(min(f.Majority.Known, math.MaxUint16)),
 		Top: v.newestVersion, Next: f.Next, LogAge: encodeAge(now, f.LogAt), MajorityAge: encodeAge(now, f.Majority.At),
-		Wanted: v.wanted,
 	}
 	if e := v.get(to); e != nil {
 		m.You = e.State
@@ -120,7 +126,10 @@
 	if step != Ask {
 		m.Rows = v.rows(now, random)
 	}
-	v.wanted = nil
+	if step != Close {
+		// A Close is not answered, so profiles are requested in the next message that is.
+		m.Wanted, v.wanted = v.wanted, nil
+	}
 	return m
 }
 
@@ -159,7 +168,7 @@
 		}
 	}
 	chosen := append([]*Entry{v.get(v.self)}, priority...)
-	newest := min(len(rest), MaxRows-randomRows-len(chosen))
+	newest := min(len(rest), max(MaxRows-v.randomRows(now)-len(chosen), 0))
 	slices.SortStableFunc(rest, func(a, b *Entry) int { return b.HeardAt.Compare(a.HeardAt) })
 	chosen = append(chosen, rest[:newest]...)
 	rest = rest[newest:]
@@ -176,6 +185,14 @@
 	return out
 }
 
+// randomRows returns the number of random rows of a digest.
+func (v *View) randomRows(now time.Time) int {
+	if v.evidenceUnused && now.Sub(v.learnedAt) < spreadPeriod {
+		return spreadRows
+	}
+	return randomRows
+}
+
 func (v *View) row(now time.Time, e *Entry) Row {
 	lag := min(v.newestVersion-e.Version, unknownLag)
 	return Row{ID: e.id(), Age: encodeAge(now, e.HeardAt), State: e.State, Stale: e.Stale, Lag: uint8(lag), InFlight: e.InFlight}
@@ -270,6 +287,7 @@
 		e.Listed = current.Listed
 		e.ListedLeaving = current.ListedLeaving
 	}
+	v.learnedAt = now
 	v.replace(e)
 }
 
--- a/internal/gossiper/message.go
+++ b/internal/gossiper/message.go
@@ -18,11 +18,12 @@
 )
 
 // Limits of an exchange. At 2 exchanges a second, MaxRows keeps all control
-// traffic of a node below 3 KB/s.
+// traffic of a node below 3 KB/s. Profiles are sent only of entries that the receiver
+// does not know, so that they may be those of all rows of a digest.
 const (
 	MaxRows     = 16
-	maxProfiles = 4
-	maxWanted   = 4
+	maxProfiles = MaxRows
+	maxWanted   = MaxRows
 )
 
 // ageUnit is the resolution of the ages in a digest, which are rounded up.
--- a/internal/gossiper/view.go
+++ b/internal/gossiper/view.go
@@ -114,6 +114,10 @@
 	hostListRead bool
 	// earlierAllowed is set if an earlier incarnation may replace a silent later one.
 	earlierAllowed bool
+	// evidenceUnused is set if nobody uses the evidence from a majority.
+	evidenceUnused bool
+	// learnedAt is when a new incarnation of an entry was last learned of.
+	learnedAt time.Time
 }
 
 // NewView returns a view that holds only the entry itself.
@@ -133,6 +137,10 @@
 // on incarnations.
 func (v *View) AllowEarlierIncarnations() { v.earlierAllowed = true }
 
+// DisableEvidence lets digests spread new entries faster, at the cost of the evidence from
+// a majority, which must not be used then.
+func (v *View) DisableEvidence() { v.evidenceUnused = true }
+
 // Outdated reports whether a later incarnation of an entry is known that the given
 // one does not replace.
 func (v *View) Outdated(now time.Time, name string, incarnation uint64) bool {
--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"testing"
 	"time"
 
@@ -38,10 +39,16 @@
 	return newNamedNode(t, "e1", time.Unix(1000, 0), seeds...)
 }
 
+// peerAddress returns the address of an entry whose name is a letter and a number.
+func peerAddress(name string) netip.AddrPort {
+	number, _ := strconv.Atoi(name[1:])
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(number)}), 1)
+}
+
 func newNamedNode(t *testing.T, name string, now time.Time, seeds ...netip.AddrPort) *managedNode {
 	t.Helper()
 	m := &managedNode{t: t, now: now, reads: make(map[reducer.Topic]reducer.ReadStore)}
-	m.node = reducer.New(reducer.Options{Name: name, Incarnation: 1, DataCentre: "a", Seed: 1, Peers: seeds, Managed: &reducer.Managed{
+	m.node = reducer.New(reducer.Options{Name: name, Incarnation: 1, PeerAddress: peerAddress(name), DataCentre: "a", Seed: 1, Peers: seeds, Managed: &reducer.Managed{
 		AnswerPeriod: time.Second, RepeatRatio: 0.2, RepeatSlack: 60, ProbeRate: 60,
 	}})
 	m.execute(m.node.Start(m.now))
--- a/internal/reducer/node.go
+++ b/internal/reducer/node.go
@@ -61,6 +61,7 @@
 	view := gossiper.NewView(self, o.Peers...)
 	if o.Managed != nil {
 		view.AllowEarlierIncarnations()
+		view.DisableEvidence()
 	}
 	return &Node{
 		Options:  o,
--- a/internal/reducer/ratelimit_test.go
+++ b/internal/reducer/ratelimit_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -46,6 +47,9 @@
 	silentLoad bool
 	// slowShare is the share of load reports that show a slowdown.
 	slowShare float64
+	// seeds are the addresses that an entry knows at its start. With seeds, the entries
+	// exchange messages instead of hearing from each other by hearEachOther.
+	seeds []netip.AddrPort
 	// probeRate is the number of health checks per upstream and second that are allowed.
 	probeRate float64
 }
@@ -70,7 +74,7 @@
 
 // restart replaces an entry by a new process, which knows no other entry.
 func (c *limitCluster) restart(i int) {
-	m := newNamedNode(c.t, entryName(i), c.now)
+	m := newNamedNode(c.t, entryName(i), c.now, c.seeds...)
 	if c.probeRate > 0 {
 		m.node.SetManaged(reducer.Managed{AnswerPeriod: time.Second, ProbeRate: c.probeRate})
 	}
@@ -121,6 +125,8 @@
 				c.answer(m, e.Upstream)
 				c.step(m, reducer.ProbeAnswered{Stamp: reducer.Stamp{Now: c.now}, Request: e.Request, Service: e.Service, Upstream: e.Upstream, OK: true, Report: c.report()})
 			})
+		case reducer.Send:
+			c.send(m, e)
 		case reducer.Dispatch:
 			c.arrivals[e.Upstream] = append(c.arrivals[e.Upstream], c.now)
 			c.after(limitWork, func() {
@@ -131,6 +137,20 @@
 	}
 }
 
+// send delivers a message to the entry with its address.
+func (c *limitCluster) send(from *managedNode, e reducer.Send) {
+	if c.seeds == nil {
+		return
+	}
+	for _, to := range c.nodes {
+		if to != nil && to != from && to.node.PeerAddress == e.Address {
+			c.after(limitTick, func() {
+				c.step(to, reducer.PeerMessageReceived{Stamp: reducer.Stamp{Now: c.now}, From: from.node.Name, FromIncarnation: 1, Message: e.Message})
+			})
+		}
+	}
+}
+
 // answer delivers what an upstream states in a response.
 func (c *limitCluster) answer(m *managedNode, upstream string) {
 	c.step(m, reducer.UpstreamAnnounced{
@@ -143,7 +163,7 @@
 // the entry that gets a request.
 func (c *limitCluster) run(length time.Duration, perSecond float64, entry func() int) {
 	for end := c.now.Add(length); c.now.Before(end); c.now = c.now.Add(limitTick) {
-		if c.now.Nanosecond() == 0 {
+		if c.seeds == nil && c.now.Nanosecond() == 0 {
 			c.hearEachOther()
 		}
 		for _, f := range c.due[c.now] {
