Take a refusal that names no request only from a new connection

Seen: not reported from here; other operators' faulty servers wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran (REFUSED, TWICE).

Cause: responses are matched by the id of the request, but an error that names no request was accepted for any. A refusal without an id that was repeated was taken for the answer to the next request on the connection.

Change: an error without an id counts only on a connection that has carried no request before; on a reused one it is skipped like a response to another request. Health checks accept no response that names a request. A request of a caller that gives no id gets a new connection.

Evidence: TestEntryRepeatedRefusal failed before for refusals without an id (with one it passed).

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -84,10 +84,13 @@
 // closed, so that a close or unexpected bytes are detected while it is idle.
 type conn struct {
 	net.Conn
-	pool        *Pool
-	head        *headLimiter
-	in          *bufio.Reader
-	wroteBytes  atomic.Bool
+	pool       *Pool
+	head       *headLimiter
+	in         *bufio.Reader
+	wroteBytes atomic.Bool
+	// reused is set once the connection has carried a request. The goroutine that reads
+	// from the connection sets it between two responses.
+	reused      bool
 	idleTimeout time.Duration
 	closeOnce   sync.Once
 
@@ -240,7 +243,7 @@
 		if resp.StatusCode < http.StatusOK && resp.StatusCode != http.StatusSwitchingProtocols {
 			continue
 		}
-		matched := x.Match == nil || x.Match(resp)
+		matched := x.Match == nil || x.Match(resp, c.reused)
 		if x.Observe != nil {
 			x.Observe(resp.StatusCode, resp.Header, matched)
 		}
@@ -310,6 +313,7 @@
 	c.mu.Lock()
 	ended := c.ended
 	c.mu.Unlock()
+	c.reused = true
 	return !ended && c.idleTimeout > 0 && c.pool.putIdle(c)
 }
 
--- a/internal/dialer/dialer_test.go
+++ b/internal/dialer/dialer_test.go
@@ -72,7 +72,7 @@
 }
 
 func matchID(id string) Matcher {
-	return func(r *http.Response) bool { return r.Header.Get("Id") == id }
+	return func(r *http.Response, _ bool) bool { return r.Header.Get("Id") == id }
 }
 
 func get(ctx context.Context, p *Pool, options RoundTripOptions) (string, SendStatus, error) {
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -29,8 +29,9 @@
 // ErrConnLimit is returned if all connections that the upstream's limit allows are in use.
 var ErrConnLimit = errors.New("all connections to the upstream are in use")
 
-// Matcher reports whether a response belongs to the request for which it was read.
-type Matcher func(*http.Response) bool
+// Matcher reports whether a response belongs to the request for which it was read. reused
+// is set if the connection has carried an earlier request, to which it may belong too.
+type Matcher func(r *http.Response, reused bool) bool
 
 // RoundTripOptions specifies which connection a request may use and how its response is recognised.
 type RoundTripOptions struct {
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -198,7 +198,7 @@
 	d.mu.Lock()
 	p := d.managedPool(e.Service, e.Address, max(e.Connections, 1))
 	d.mu.Unlock()
-	resp, _, err := p.RoundTrip(req, dialer.RoundTripOptions{Observe: d.observer(e.Service, e.Upstream, e.Born)})
+	resp, _, err := p.RoundTrip(req, dialer.RoundTripOptions{Match: d.namesNoRequest, Observe: d.observer(e.Service, e.Upstream, e.Born)})
 	if err != nil {
 		return ev
 	}
@@ -244,16 +244,27 @@
 	d.responseReady(e, resp)
 }
 
+// namesNoRequest matches responses to health checks, which name no request.
+func (d *Driver) namesNoRequest(r *http.Response, _ bool) bool {
+	return d.codec.ParseResponse(r.StatusCode, r.Header, time.Now()).ID == ""
+}
+
+// roundTripOptions returns the options of an attempt. An error that names no request is
+// accepted only on a new connection: on a reused one it may be an earlier response that
+// the upstream wrote once more.
 func (d *Driver) roundTripOptions(e reducer.Dispatch, c *call) dialer.RoundTripOptions {
 	options := dialer.RoundTripOptions{Fresh: e.Fresh, Observe: d.observer(e.Service, e.Upstream, e.Born)}
 	if c.onceOnly {
 		options.MaxIdle = onceOnlyMaxIdle
 	}
 	if c.callerRequestID != "" {
-		options.Match = func(r *http.Response) bool {
+		options.Match = func(r *http.Response, reused bool) bool {
 			id := d.codec.ParseResponse(r.StatusCode, r.Header, time.Now()).ID
-			return id == "" && r.StatusCode >= http.StatusBadRequest || id == c.callerRequestID
+			return id == c.callerRequestID || id == "" && !reused && r.StatusCode >= http.StatusBadRequest
 		}
+	} else {
+		// Nothing could tell a late response to an earlier request from the one to this.
+		options.Fresh = true
 	}
 	return options
 }
