review: case 2, a planned stop cuts pipelined requests that are in progress

Cause: once a stop was requested, each response is marked as the last of its connection, also while requests behind it that were read and passed on are still in progress; the end of that response cancels them.

--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -36,6 +36,7 @@
 	store   faker.Store
 	address netip.AddrPort
 	entries []*entry
+	servers []*faker.Server
 
 	mu      sync.Mutex
 	record  *bufio.Writer
@@ -100,10 +101,20 @@
 		return err
 	}
 	s.Address = a
+	b.servers = append(b.servers, s)
 	b.store.Put(faker.TopicServers, id, s.Registration("ready", 1))
 	return nil
 }
 
+// runs returns how often servers executed a request.
+func (b *bed) runs(id string) int {
+	count := 0
+	for _, s := range b.servers {
+		count += s.Runs(id)
+	}
+	return count
+}
+
 // freePorts returns free loopback addresses.
 func freePorts(ctx context.Context, count int) ([]netip.AddrPort, error) {
 	out := make([]netip.AddrPort, 0, count)
