review: case 3, a path with an encoded slash selects a foreign route

Cause: routes are matched against the decoded path, which is forwarded as it was sent. Done: review/3 with a script: a version adds a safe route to another service below the prefix of an unsafe one.

--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -25,6 +25,7 @@
 
 var cases = map[string]caseFunc{
 	"limits": playLimits,
+	"route":  playRoute,
 	"stop":   playStop,
 }
 
