--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -11,6 +11,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -27,6 +28,8 @@
 	entryMemory = 544 << 20
 	portsEach   = 5
 	readyWait   = 15 * time.Second
+	// slowRun is the additional time of a slow run.
+	slowRun = 100 * time.Millisecond
 )
 
 // bed is a small deployment: a store, servers and entries.
@@ -91,10 +94,15 @@
 	return netip.ParseAddrPort(lis.Addr().String())
 }
 
-// addServer starts a server of a service and registers it in the store.
-func (b *bed) addServer(ctx context.Context, id, service string, work time.Duration) error {
+// addServer starts a server of a service and registers it in the store. Each slowEvery-th
+// run takes slowRun longer, as on a machine that the server shares with others; 0 means none.
+func (b *bed) addServer(ctx context.Context, id, service string, work time.Duration, slowEvery int64) error {
+	var runs atomic.Int64
 	s := &faker.Server{ID: id, Service: service, Zone: "a", Slots: 6, Work: work, OnRun: func(r faker.Run) {
 		b.note("server %s runs %s %s, %d bytes, as request %s", r.Server, r.Method, r.Target, r.Body, r.ID)
+		if n := runs.Add(1); slowEvery > 0 && n%slowEvery == 0 {
+			time.Sleep(slowRun)
+		}
 	}}
 	a, err := b.serve(ctx, s)
 	if err != nil {
--- a/review/cases/limits.go
+++ b/review/cases/limits.go
@@ -36,7 +36,7 @@
 	}
 	b.store.Put(faker.TopicOperator, "config", limitsDocument(1, first))
 	for i, service := range []string{"tickets", "tickets", "other"} {
-		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, 5*time.Millisecond); err != nil {
+		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, 5*time.Millisecond, 0); err != nil {
 			return nil, err
 		}
 	}
--- a/review/cases/route.go
+++ b/review/cases/route.go
@@ -13,7 +13,9 @@
 
 const (
 	// routeRequests is the number of postings to each entry.
-	routeRequests = 40
+	routeRequests = 100
+	// slowEvery is the number of runs of a server of which one is slow.
+	slowEvery = 25
 	// addedRoute is a safe route to another service, below the prefix of the route for postings.
 	addedRoute = `"preview":{"Hostname":"h","PathPrefix":"/post/preview/","RouteType":"safe","Timeout":"1500ms","TargetLatency":"300ms","Priority":1,"Service":"other","MaxAttempts":2},`
 )
@@ -23,7 +25,7 @@
 func playRoute(ctx context.Context, b *bed, trouble bool) ([]string, error) {
 	b.store.Put(faker.TopicOperator, "config", faker.Document(1, "tickets"))
 	for i, service := range []string{"tickets", "tickets", "other", "other"} {
-		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, 5*time.Millisecond); err != nil {
+		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, 5*time.Millisecond, slowEvery); err != nil {
 			return nil, err
 		}
 	}
--- a/review/cases/stop.go
+++ b/review/cases/stop.go
@@ -35,7 +35,7 @@
 func playStop(ctx context.Context, b *bed, trouble bool) ([]string, error) {
 	b.store.Put(faker.TopicOperator, "config", faker.Document(1, "tickets"))
 	for i, service := range []string{"tickets", "tickets", "tickets", "other"} {
-		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, stopWork); err != nil {
+		if err := b.addServer(ctx, fmt.Sprintf("i-%d", i+1), service, stopWork, 0); err != nil {
 			return nil, err
 		}
 	}
