review: case 4, an incomplete entry of another writer moves a server to another service

Cause: entries without Zone, Version, WarmupLeft or born are accepted, and one with a higher Sequence replaces the server's own registration with its Service. Done: review/4 with a script; servers of all cases beat every 1.5 s now, and entries have loopback addresses of their own, since free ports were taken by others in one run in fifteen.

--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -26,7 +26,7 @@
 	configApply = 2 * time.Second
 	grace       = 6 * time.Second
 	entryMemory = 544 << 20
-	portsEach   = 5
+	heartbeat   = 1500 * time.Millisecond
 	readyWait   = 15 * time.Second
 	// slowRun is the additional time of a slow run.
 	slowRun = 100 * time.Millisecond
@@ -111,9 +111,18 @@
 	s.Address = a
 	b.servers = append(b.servers, s)
 	b.store.Put(faker.TopicServers, id, s.Registration("ready", 1))
+	go b.beat(ctx, s)
 	return nil
 }
 
+// beat renews the registration of a server until the context ends.
+func (b *bed) beat(ctx context.Context, s *faker.Server) {
+	for sequence := 2; ctx.Err() == nil; sequence++ {
+		pause(ctx, heartbeat)
+		b.store.Put(faker.TopicServers, s.ID, s.Registration("ready", sequence))
+	}
+}
+
 // runs returns how often servers executed a request.
 func (b *bed) runs(id string) int {
 	count := 0
@@ -123,40 +132,32 @@
 	return count
 }
 
-// freePorts returns free loopback addresses.
-func freePorts(ctx context.Context, count int) ([]netip.AddrPort, error) {
-	out := make([]netip.AddrPort, 0, count)
-	for range count {
-		var config net.ListenConfig
-		lis, err := config.Listen(ctx, "tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
-		}
-		defer func() { _ = lis.Close() }()
-		a, err := netip.ParseAddrPort(lis.Addr().String())
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, a)
-	}
-	return out, nil
+// Ports of an entry, below the range from which the system takes free ones.
+const (
+	portCallers   = 8381
+	portPeers     = 8382
+	portDirectory = 8383
+	portReadiness = 8388
+	portMetrics   = 7200
+)
+
+// entryAddress returns a loopback address of an entry. The network differs by process, so
+// that runs at the same time don't collide.
+func entryAddress(i, port int) netip.AddrPort {
+	const first, networks, perNetwork = 64, 128, 256
+	id := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(first + id/perNetwork%networks), byte(id % perNetwork), byte(i + 1)})
+	return netip.AddrPortFrom(ip, uint16(port))
 }
 
 // startEntries starts entries and waits until all are ready.
 func (b *bed) startEntries(ctx context.Context, count int) error {
-	var seeds []netip.AddrPort
 	for i := range count {
-		ports, err := freePorts(ctx, portsEach)
-		if err != nil {
-			return err
-		}
-		if i == 0 {
-			seeds = ports[1:2]
-		}
 		s := &platform.Settings{
 			Name: fmt.Sprintf("edge-a-%d", i+1), DataCentre: "a",
-			Callers: ports[0], Peers: ports[1], Readiness: ports[2], Directory: ports[3], Metrics: ports[4],
-			Seeds: seeds, Store: b.address, Memory: entryMemory, Grace: grace, MaxAnswer: 5 * time.Second,
+			Callers: entryAddress(i, portCallers), Peers: entryAddress(i, portPeers), Readiness: entryAddress(i, portReadiness),
+			Directory: entryAddress(i, portDirectory), Metrics: entryAddress(i, portMetrics),
+			Seeds: []netip.AddrPort{entryAddress(0, portPeers)}, Store: b.address, Memory: entryMemory, Grace: grace, MaxAnswer: 5 * time.Second,
 			RepeatRatio: 0.2, RepeatSlack: 56, ProbeRate: 60,
 		}
 		e := &entry{settings: s}
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -24,6 +24,7 @@
 type caseFunc func(ctx context.Context, b *bed, trouble bool) ([]string, error)
 
 var cases = map[string]caseFunc{
+	"forged": playForged,
 	"limits": playLimits,
 	"route":  playRoute,
 	"stop":   playStop,
