--- a/review/cases/bed.go
+++ b/review/cases/bed.go
@@ -25,6 +25,7 @@
 	contact     = 3 * time.Second
 	configApply = 2 * time.Second
 	grace       = 6 * time.Second
+	entryCount  = 3
 	entryMemory = 544 << 20
 	heartbeat   = 1500 * time.Millisecond
 	readyWait   = 15 * time.Second
@@ -150,9 +151,9 @@
 	return netip.AddrPortFrom(ip, uint16(port))
 }
 
-// startEntries starts entries and waits until all are ready.
-func (b *bed) startEntries(ctx context.Context, count int) error {
-	for i := range count {
+// startEntries starts the entries and waits until all are ready.
+func (b *bed) startEntries(ctx context.Context) error {
+	for i := range entryCount {
 		s := &platform.Settings{
 			Name: fmt.Sprintf("edge-a-%d", i+1), DataCentre: "a",
 			Callers: entryAddress(i, portCallers), Peers: entryAddress(i, portPeers), Readiness: entryAddress(i, portReadiness),
--- a/review/cases/forged.go
+++ b/review/cases/forged.go
@@ -30,7 +30,7 @@
 			return nil, err
 		}
 	}
-	if err := b.startEntries(ctx, 3); err != nil {
+	if err := b.startEntries(ctx); err != nil {
 		return nil, err
 	}
 	pause(ctx, contact)
