--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]caseFunc{
 	"forged": playForged,
 	"limits": playLimits,
+	"prefix": playPrefix,
 	"route":  playRoute,
 	"stop":   playStop,
 }
