Log which side closed the connection of an abandoned request

A request whose connection ended before its response was logged as "caller disconnected", whoever closed the connection.

The context of a request now carries the cause of its end, and the line "request abandoned" shows it.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 )
 
@@ -89,13 +90,13 @@
 }
 
 // TestCallerDisconnected guards against handlers that keep running after the caller has
-// disconnected, also for pipelined requests.
+// disconnected, also for pipelined requests, and against a cause that names the entry.
 func TestCallerDisconnected(t *testing.T) {
-	cancelled := make(chan string, 3)
+	cancelled := make(chan error, 3)
 	f := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
 		<-r.Context().Done()
-		cancelled <- r.URL.Path
+		cancelled <- context.Cause(r.Context())
 	})
 	for _, text := range []string{
 		"GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n",
@@ -108,7 +109,10 @@
 		_ = c.Close()
 		for range strings.Count(text, "HTTP") {
 			select {
-			case <-cancelled:
+			case cause := <-cancelled:
+				if !errors.Is(cause, errCallerDisconnected) {
+					t.Error("handler cancelled with cause", cause)
+				}
 			case <-time.After(testTimeout):
 				t.Fatal("handler not cancelled after the caller disconnected:", text)
 			}
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -37,8 +37,8 @@
 	in    *bufio.Reader
 	out   *bufio.Writer
 	ctx   context.Context
-	// cancel cancels the context of all requests.
-	cancel        context.CancelFunc
+	// cancel cancels the context of all requests; its cause tells who ended the connection.
+	cancel        context.CancelCauseFunc
 	pipelineSlots chan struct{}
 
 	mu sync.Mutex
@@ -59,14 +59,14 @@
 	c.limit = io.LimitedReader{R: nc, N: math.MaxInt64}
 	c.in = bufio.NewReaderSize(&c.limit, bufferSize)
 	c.out = bufio.NewWriterSize(nc, bufferSize)
-	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.ctx, c.cancel = context.WithCancelCause(context.Background())
 	return c
 }
 
 // serve reads requests until the connection ends, then waits for their handlers.
 func (c *conn) serve() {
 	defer c.server.removeConn(c)
-	defer c.cancel()
+	defer c.cancel(errConnClosed)
 	prevDone := make(chan struct{})
 	close(prevDone)
 	for {
@@ -89,7 +89,7 @@
 		c.limit.N = math.MaxInt64
 		_ = c.SetReadDeadline(time.Time{})
 		_, _ = io.Copy(io.Discard, c.in)
-		c.cancel()
+		c.cancel(errCallerDisconnected)
 	}()
 	<-prevDone
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
@@ -170,7 +170,7 @@
 
 // abort cancels all requests and closes the connection at once.
 func (c *conn) abort() {
-	c.cancel()
+	c.cancel(errConnClosed)
 	_ = c.Close()
 }
 
@@ -276,7 +276,7 @@
 		readStopped := c.readStopped
 		c.mu.Unlock()
 		if !readStopped {
-			c.cancel()
+			c.cancel(errCallerDisconnected)
 		}
 		return
 	}
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -18,6 +18,7 @@
 
 var (
 	errCallerDisconnected = errors.New("the caller closed the connection")
+	errConnClosed         = errors.New("the entry closed the connection")
 	errConnClosing        = errors.New("an earlier response closes the connection")
 )
 
@@ -222,7 +223,7 @@
 		x.conn.abort()
 	case x.header.Get("Connection") == "close":
 		// Pipelined requests after this response get no response, so their handlers are cancelled.
-		x.conn.cancel()
+		x.conn.cancel(errConnClosing)
 	}
 }
 
@@ -254,7 +255,7 @@
 	if err != nil {
 		b.finish(errors.Is(err, io.EOF))
 		if !errors.Is(err, io.EOF) {
-			b.conn.cancel()
+			b.conn.cancel(errors.Wrap(err, "request body"))
 		}
 	}
 	return n, err
--- a/internal/driver/requestlog.go
+++ b/internal/driver/requestlog.go
@@ -1,8 +1,10 @@
 package driver
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -116,12 +118,22 @@
 	case nil:
 		message = "request ended before dispatch"
 		if code == classifier.CallerGone {
-			message = "caller disconnected"
+			message = "request abandoned"
+			fields = append(fields, zap.String("Cause", d.disconnectCause(c).Error()))
 		}
 	}
 	d.logger.Info(message, fields...)
 }
 
+// disconnectCause returns why a request ended without a reply: the caller closed the
+// connection, or this entry did.
+func (d *Driver) disconnectCause(c *call) error {
+	if err := context.Cause(c.request.Context()); err != nil {
+		return err
+	}
+	return errors.Wrap(context.Cause(d.ctx), "the entry ended")
+}
+
 func (d *Driver) attemptTraces(c *call) (traces, uint64) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
