Answer the pipelined requests in progress before a stop closes their connection

Callers that had sent several lookups on one connection got the first response with "Connection: close" when a planned stop began.

Cause: a response asked for the end of its connection without regard to the requests that had been passed to handlers after it, and cancelled them. A request that arrived after such a response had begun was even passed on then. The line "request abandoned" gave "an earlier response closes the connection" as the cause of each logged lookup.

Which response is the last, and whether a request may begin, is now decided under one lock: after a response asks for the end, no request begins, and the last one in progress says "Connection: close". Both ways of asking, the server's and the handler's, go through it.

TestCloseAfterResponse demanded the fault: of two requests in progress it expected the second to get no response. TestPipelineDuringStop replaces it; it expects all responses, "close" on the last one only, and nothing after.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -173,26 +175,81 @@
 	is.NoErr(<-stopped)
 }
 
-// TestCloseAfterResponse guards against a response that is sent after one with "Connection: close".
-func TestCloseAfterResponse(t *testing.T) {
-	is := is.New(t)
-	release := make(chan struct{})
-	f := startServer(t, func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/1" {
-			<-release
-		}
-		_, _ = io.WriteString(w, r.URL.Path)
-	})
-	c, in := f.dial(t)
-	_, _ = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
-	time.Sleep(20 * time.Millisecond)
-	f.AnnounceClose()
-	close(release)
-	_, body, closes := readResponse(t, in)
-	is.Equal(body, "/1")
-	is.True(closes)
-	_, err := in.ReadByte()
-	is.Equal(err, io.EOF)
+// TestPipelineDuringStop guards against a planned stop that drops pipelined requests in
+// progress: only the last response may close the connection, and none may follow it.
+func TestPipelineDuringStop(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// announce makes the server or the handler ask for the end of the connection.
+		announce func(f fixture, h http.Header)
+	}{
+		{"announced by the server", func(f fixture, _ http.Header) { f.AnnounceClose() }},
+		{"asked for by the handler", func(_ fixture, h http.Header) { h.Set("Connection", "close") }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			var f fixture
+			var started sync.WaitGroup
+			started.Add(3)
+			release := make(chan struct{})
+			f = startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				started.Done()
+				<-release
+				c.announce(f, w.Header())
+				_, _ = io.WriteString(w, r.URL.Path)
+			})
+			conn, in := f.dial(t)
+			_, err := io.WriteString(conn, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\nGET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+			is.NoErr(err)
+			started.Wait()
+			close(release)
+			for _, want := range []string{"/1", "/2", "/3"} {
+				_, body, closes := readResponse(t, in)
+				is.Equal(body, want)
+				is.Equal(closes, want == "/3")
+			}
+			_, err = in.ReadByte()
+			is.Equal(err, io.EOF)
+		})
+	}
+}
+
+// TestRequestBehindClosingResponse guards against a request that is handled, but not
+// answered, because it arrives after a response that closes the connection has begun.
+func TestRequestBehindClosingResponse(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		t.Run(method, func(t *testing.T) {
+			is := is.New(t)
+			var handled atomic.Int64
+			release := make(chan struct{})
+			f := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				handled.Add(1)
+				w.Header().Set("Content-Length", "2")
+				_, _ = io.WriteString(w, "a")
+				w.(http.Flusher).Flush()
+				<-release
+				_, _ = io.WriteString(w, "b")
+			})
+			f.AnnounceClose()
+			c, in := f.dial(t)
+			_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+			is.NoErr(err)
+			resp, err := http.ReadResponse(in, nil)
+			is.NoErr(err)
+			defer func() { _ = resp.Body.Close() }()
+			is.True(resp.Close)
+			_, err = io.WriteString(c, method+" /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n")
+			is.NoErr(err)
+			time.Sleep(20 * time.Millisecond)
+			close(release)
+			body, err := io.ReadAll(resp.Body)
+			is.NoErr(err)
+			is.Equal(string(body), "ab")
+			_, err = in.ReadByte()
+			is.Equal(err, io.EOF)
+			is.Equal(handled.Load(), int64(1))
+		})
+	}
 }
 
 // TestMalformedRequest guards against malformed or oversized requests that get no response or stop the server.
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -44,10 +44,10 @@
 	mu sync.Mutex
 	// inFlight counts the requests without a complete response.
 	inFlight int
-	// readStopped is set once no further request is to be read.
+	// last is the request that was passed to the handler last.
+	last *exchange
+	// readStopped is set once no further request is passed to the handler.
 	readStopped bool
-	// closeAnnounced is set once a response that closes the connection has begun.
-	closeAnnounced bool
 	// closingWhenIdle is set once the connection is to be closed as soon as it is idle.
 	closingWhenIdle bool
 	// awaitingRequest is set while no byte of the next request has been read.
@@ -198,7 +198,9 @@
 	body.sendContinue = req.Header.Get("Expect") == "100-continue"
 	req.Body = body
 	x := &exchange{conn: c, request: req.WithContext(c.ctx), body: body, prevDone: prevDone, done: make(chan struct{})}
-	c.addInFlight()
+	if !c.begin(x) {
+		return nil, errConnClosing
+	}
 	go x.run()
 	select {
 	case <-body.done:
@@ -210,10 +212,17 @@
 	return x.done, nil
 }
 
-func (c *conn) addInFlight() {
+// begin records that a request is passed to the handler. It reports false if the
+// connection closes after an earlier response, so that the request must not run.
+func (c *conn) begin(x *exchange) bool {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readStopped {
+		return false
+	}
 	c.inFlight++
-	c.mu.Unlock()
+	c.last = x
+	return true
 }
 
 // stopReading prevents further requests from being read.
@@ -223,17 +232,14 @@
 	c.mu.Unlock()
 }
 
-// startResponse reports whether a response may begin; it reports false after one
-// that closes the connection.
-func (c *conn) startResponse(closesConn bool) bool {
+// startResponse reports whether the response that begins is the last one on the
+// connection. wantsClose asks for the end of the connection: no further request is
+// accepted, but those in progress, which upstreams may have run, get their responses first.
+func (c *conn) startResponse(x *exchange, wantsClose bool) (last bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closeAnnounced {
-		return false
-	}
-	c.closeAnnounced = closesConn
-	c.readStopped = c.readStopped || closesConn
-	return true
+	c.readStopped = c.readStopped || wantsClose
+	return c.readStopped && c.last == x
 }
 
 // endExchange records the end of an exchange and sets the read deadline of a
@@ -261,6 +267,8 @@
 	var timeout net.Error
 	status := 0
 	switch {
+	case errors.Is(err, errConnClosing):
+		return
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, context.Canceled):
--- a/internal/acceptor/exchange.go
+++ b/internal/acceptor/exchange.go
@@ -154,12 +154,9 @@
 		return x.err
 	}
 	c := x.conn
-	closesConn := x.closesConn()
-	if !c.startResponse(closesConn) {
-		x.err = errConnClosing
-		return x.err
-	}
-	if closesConn {
+	wantsClose := x.wantsClose()
+	x.header.Del("Connection")
+	if c.startResponse(x, wantsClose) {
 		x.header.Set("Connection", "close")
 	}
 	x.wroteHeader = true
@@ -195,8 +192,8 @@
 	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
-// closesConn reports whether the connection is closed after this response.
-func (x *exchange) closesConn() bool {
+// wantsClose reports whether the connection is to end after the requests in progress.
+func (x *exchange) wantsClose() bool {
 	return x.request.Close || x.conn.server.closeAfterResponse.Load() || x.header.Get("Connection") == "close" || !x.body.fullyRead()
 }
 
@@ -216,14 +213,9 @@
 	if err == nil {
 		err = x.conn.out.Flush()
 	}
-	switch {
-	case errors.Is(err, errConnClosing):
-	case err != nil:
+	if err != nil {
 		<-x.prevDoneOrCancelled()
 		x.conn.abort()
-	case x.header.Get("Connection") == "close":
-		// Pipelined requests after this response get no response, so their handlers are cancelled.
-		x.conn.cancel(errConnClosing)
 	}
 }
 
--- a/internal/commander/entry_stop_test.go
+++ b/internal/commander/entry_stop_test.go
@@ -1,7 +1,11 @@
 package commander
 
 import (
+	"bufio"
+	"context"
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -70,3 +74,72 @@
 		})
 	}
 }
+
+// TestEntryStopsPipelined guards against a planned stop that answers the first of several
+// requests on one connection and drops those behind it, which servers have run.
+func TestEntryStopsPipelined(t *testing.T) {
+	is := is.New(t)
+	d := deploy(t, 2)
+	for _, s := range d.servers {
+		s.Work = 400 * time.Millisecond
+	}
+	const connections, pipelined = 3, 3
+	var clients sync.WaitGroup
+	for i := range connections {
+		clients.Go(func() {
+			for j, answered := range d.pipeline(1, fmt.Sprintf("c%d", i), pipelined) {
+				if id := pipelinedID(fmt.Sprintf("c%d", i), j); !answered && d.runs(id) > 0 {
+					t.Errorf("%s ran and got no response", id)
+				}
+			}
+		})
+	}
+	d.wait("requests in progress", func() bool {
+		for i := range connections {
+			if d.runs(pipelinedID(fmt.Sprintf("c%d", i), pipelined-1)) == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	d.signals[1] <- syscall.SIGTERM
+	clients.Wait()
+	is.NoErr(<-d.ended[1])
+}
+
+func pipelinedID(name string, i int) string { return fmt.Sprintf("%s-%d", name, i) }
+
+// pipeline sends lookups on one connection before it reads the first response. It returns
+// for each lookup whether it got a complete response.
+func (d *testDeployment) pipeline(entry int, name string, count int) []bool {
+	answered := make([]bool, count)
+	address := d.entries[entry].settings.Callers.String()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		d.t.Error(err)
+		return answered
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(waitTimeout))
+	for i := range count {
+		req, err := faker.NewRequest(context.Background(), http.MethodGet, address, "/read/x", pipelinedID(name, i), waitTimeout)
+		if err == nil {
+			err = req.Write(c)
+		}
+		if err != nil {
+			d.t.Error(err)
+			return answered
+		}
+	}
+	in := bufio.NewReader(c)
+	for i := range answered {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			return answered
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+		answered[i] = err == nil && resp.StatusCode == http.StatusOK
+	}
+	return answered
+}
