Don't answer a malformed request behind a response that closes

A caller that had sent a malformed request behind a proper one got a 400 after a response with "Connection: close", when the entry was stopping or the earlier request was refused with its body unread.

TestMalformedBehindClosingResponse failed before (a byte in place of EOF).

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -252,6 +252,28 @@
 	}
 }
 
+// TestMalformedBehindClosingResponse guards against a refusal of a malformed request that
+// follows a response with "Connection: close".
+func TestMalformedBehindClosingResponse(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	f := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		<-release
+		w.WriteHeader(http.StatusNoContent)
+	})
+	c, in := f.dial(t)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nnonsense\r\n\r\n")
+	is.NoErr(err)
+	time.Sleep(20 * time.Millisecond)
+	f.AnnounceClose()
+	close(release)
+	status, _, closes := readResponse(t, in)
+	is.Equal(status, http.StatusNoContent)
+	is.True(closes)
+	_, err = in.ReadByte()
+	is.Equal(err, io.EOF)
+}
+
 // TestMalformedRequest guards against malformed or oversized requests that get no response or stop the server.
 func TestMalformedRequest(t *testing.T) {
 	f := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -232,6 +232,13 @@
 	c.mu.Unlock()
 }
 
+// hasStoppedReading reports whether the connection ends after the responses in progress.
+func (c *conn) hasStoppedReading() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.readStopped
+}
+
 // startResponse reports whether the response that begins is the last one on the
 // connection. wantsClose asks for the end of the connection: no further request is
 // accepted, but those in progress, which upstreams may have run, get their responses first.
@@ -280,16 +287,16 @@
 		status = http.StatusBadRequest
 	}
 	if status == 0 {
-		c.mu.Lock()
-		readStopped := c.readStopped
-		c.mu.Unlock()
-		if !readStopped {
+		if !c.hasStoppedReading() {
 			c.cancel(errCallerDisconnected)
 		}
 		return
 	}
-	c.server.logger.Info("request refused", zap.Int("Status", status), zap.NamedError("Cause", err), zap.Stringer("Caller", c.RemoteAddr()))
 	<-prevDone
+	if c.hasStoppedReading() {
+		return
+	}
+	c.server.logger.Info("request refused", zap.Int("Status", status), zap.NamedError("Cause", err), zap.Stringer("Caller", c.RemoteAddr()))
 	_ = c.SetWriteDeadline(time.Now().Add(bodyProgressTimeout))
 	_, _ = c.out.WriteString("HTTP/1.1 " + statusLine(status) + "\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
 	_ = c.out.Flush()
