--- a/internal/reducer/copy.go
+++ b/internal/reducer/copy.go
@@ -145,7 +145,7 @@
 	r.end = 0
 	names := make(map[string]bool)
 	for _, record := range c.records() {
-		n.applyRecord(record, names)
+		n.applyRecord(record, "copied by "+from, names)
 	}
 	if c.Whole && c.Topic == TopicUpstreams {
 		n.follow.registrar.RetainOnly(n.now, names)
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -258,7 +258,7 @@
 	names := make(map[string]bool)
 	var changes []StoreRecord
 	for _, record := range ev.Facts {
-		if n.applyRecord(record, names) {
+		if n.applyRecord(record, "read from the store", names) {
 			changes = append(changes, record)
 		}
 	}
@@ -359,8 +359,8 @@
 }
 
 // applyRecord applies a record and adds its name to names; it reports whether the
-// record has to be copied to peers.
-func (n *Node) applyRecord(record StoreRecord, names map[string]bool) bool {
+// record has to be copied to peers. source tells in the log how the record was learnt.
+func (n *Node) applyRecord(record StoreRecord, source string, names map[string]bool) bool {
 	g := n.follow.registrar
 	switch r := record.(type) {
 	case DocumentRecord:
@@ -368,7 +368,7 @@
 			return false
 		}
 		n.follow.routes = g.Table()
-		n.audit(auditor.Entry{Actor: "Operator", Action: "ConfigInForce", Subject: "Document", Cause: "read from the store", Version: r.Version})
+		n.audit(auditor.Entry{Actor: "Operator", Action: "ConfigInForce", Subject: "Document", Cause: source, Version: r.Version})
 		return true
 	case RegistrationRecord:
 		names[r.Name] = true
