Put the limits of callers in force however a document was learnt

Cause: the driver applied the limits of the document only after its own read of the store, while the reducer also learns a document from copies of peers. ConfigInForce was logged with the new version at all entries, copied by the reader at the others, and the copies hold the limits (TestRoundTrip now covers StoreCopy). An entry that took everything from its peers kept the defaults.

The reducer now emits the limits as an effect wherever it puts a document in force. The line "caller limits set" shows them.

Before the fix: TestCallerLimits failed in all five cases, since there was no effect, and TestEntryCallerLimits with 431 in place of 200.

--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -256,6 +256,8 @@
 		d.startStoreRead(e)
 	case reducer.Audit:
 		d.logAudit(e)
+	case reducer.SetCallerLimits:
+		d.setCallerLimits(e.Limits)
 	case reducer.Stop:
 		d.enterStopPhase(e.Phase)
 	default:
--- a/internal/driver/follow.go
+++ b/internal/driver/follow.go
@@ -10,6 +10,7 @@
 
 	"github.com/azuretrestle/azuretrestle/internal/acceptor"
 	"github.com/azuretrestle/azuretrestle/internal/reducer"
+	"github.com/azuretrestle/azuretrestle/internal/registrar"
 )
 
 // ErrExpired is returned by a Store that no longer has the requested records.
@@ -68,29 +69,31 @@
 		}
 		return reducer.StoreRead{Stamp: s, ID: e.ID, Topic: e.Topic, Whole: e.Whole, Facts: page.Facts, Next: page.Next, End: page.End}
 	})
-	if err == nil {
-		d.applyCallerLimits()
-	}
 }
 
-// applyCallerLimits applies the operator's limits to the callers' connections.
-func (d *Driver) applyCallerLimits() {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	l := d.node.Limits()
+// setCallerLimits applies the operator's limits to the callers' connections; d.mu is held.
+func (d *Driver) setCallerLimits(l registrar.Limits) {
+	d.logger.Info("caller limits set", zap.Int("Header", l.Header), zap.Int64("Body", l.Body),
+		zap.Duration("HeaderPatience", l.HeaderPatience), zap.Duration("Idle", l.Idle))
 	for _, s := range d.servers {
 		if a, ok := s.(*acceptor.Server); ok {
-			a.SetLimits(acceptor.Limits{Header: l.Header, HeaderPatience: l.HeaderPatience, Idle: l.Idle})
+			a.SetLimits(acceptorLimits(l))
 		}
 	}
 }
 
+func acceptorLimits(l registrar.Limits) acceptor.Limits {
+	return acceptor.Limits{Header: l.Header, HeaderPatience: l.HeaderPatience, Idle: l.Idle}
+}
+
 // ServeRoutes serves callers of a managed deployment on the listener and returns
 // at once. The driver takes ownership of the listener.
 func (d *Driver) ServeRoutes(lis net.Listener) {
 	s := acceptor.New(d.RouteHandler(), d.logger)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	// A document may have been read before.
+	s.SetLimits(acceptorLimits(d.node.Limits()))
 	if d.drained != nil || d.ctx.Err() != nil {
 		_ = lis.Close()
 		return
--- a/internal/messenger/wire_test.go
+++ b/internal/messenger/wire_test.go
@@ -23,6 +23,8 @@
 	reducer.ResultCopy{},
 	reducer.ConfigRequest{},
 	reducer.ConfigAnswer{},
+	reducer.StoreCopy{},
+	reducer.StoreRequest{},
 }
 
 // fill sets every field of v recursively, so that a field that is not encoded causes a
--- a/internal/reducer/effect.go
+++ b/internal/reducer/effect.go
@@ -6,6 +6,7 @@
 
 	"github.com/azuretrestle/azuretrestle/internal/auditor"
 	"github.com/azuretrestle/azuretrestle/internal/balancer"
+	"github.com/azuretrestle/azuretrestle/internal/registrar"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
 )
 
@@ -150,6 +151,9 @@
 // Audit carries an audit record that the driver writes to the log output.
 type Audit struct{ auditor.Entry }
 
+// SetCallerLimits puts the limits of a document in force for all connections of callers.
+type SetCallerLimits struct{ registrar.Limits }
+
 // Stop tells the driver that a planned stop has reached a new phase.
 type Stop struct{ Phase StopStep }
 
@@ -164,21 +168,22 @@
 	StopDone
 )
 
-func (Dispatch) effect()      {}
-func (Cancel) effect()        {}
-func (Relay) effect()         {}
-func (Refuse) effect()        {}
-func (AnswerStored) effect()  {}
-func (Probe) effect()         {}
-func (CloseIdle) effect()     {}
-func (Send) effect()          {}
-func (Disconnect) effect()    {}
-func (ReadLog) effect()       {}
-func (Append) effect()        {}
-func (ListHosts) effect()     {}
-func (SetTimer) effect()      {}
-func (AnswerPatch) effect()   {}
-func (AnswerEntries) effect() {}
-func (AnswerKeys) effect()    {}
-func (Audit) effect()         {}
-func (Stop) effect()          {}
+func (Dispatch) effect()        {}
+func (Cancel) effect()          {}
+func (Relay) effect()           {}
+func (Refuse) effect()          {}
+func (AnswerStored) effect()    {}
+func (Probe) effect()           {}
+func (CloseIdle) effect()       {}
+func (Send) effect()            {}
+func (Disconnect) effect()      {}
+func (ReadLog) effect()         {}
+func (Append) effect()          {}
+func (ListHosts) effect()       {}
+func (SetTimer) effect()        {}
+func (AnswerPatch) effect()     {}
+func (AnswerEntries) effect()   {}
+func (AnswerKeys) effect()      {}
+func (Audit) effect()           {}
+func (SetCallerLimits) effect() {}
+func (Stop) effect()            {}
--- a/internal/reducer/follow.go
+++ b/internal/reducer/follow.go
@@ -368,6 +368,7 @@
 			return false
 		}
 		n.follow.routes = g.Table()
+		n.emit(SetCallerLimits{r.Limits})
 		n.audit(auditor.Entry{Actor: "Operator", Action: "ConfigInForce", Subject: "Document", Cause: source, Version: r.Version})
 		return true
 	case RegistrationRecord:
--- a/internal/reducer/limits_test.go
+++ b/internal/reducer/limits_test.go
@@ -70,3 +70,23 @@
 		})
 	}
 }
+
+// TestCallerLimits guards against an entry that routes by a version of the configuration
+// but keeps the limits of an earlier one, or the defaults, for its callers.
+func TestCallerLimits(t *testing.T) {
+	for _, c := range documentSources {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newManagedNode(t)
+			if !c.starts {
+				m.startServing(patcher.Idempotent, "u1")
+			}
+			d := limitedDocument(2, 1000)
+			c.learn(m, d)
+			set, ok := lastEffect[reducer.SetCallerLimits](m)
+			is.True(ok)
+			is.Equal(set.Limits, d.Limits)
+			is.Equal(m.node.Limits(), d.Limits)
+		})
+	}
+}
