Apply a changed idle timeout to connections that are idle

A connection that was idle when a version changed IdleTimeout was still closed by the earlier timeout, although its caller may reuse it within four fifths of the new one.

TestIdleLimitChanges failed before for a raised and for a lowered timeout.

--- a/internal/acceptor/acceptor.go
+++ b/internal/acceptor/acceptor.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,7 +50,8 @@
 	return s
 }
 
-// SetLimits sets the limits of all connections from their next request on; zero fields get defaults.
+// SetLimits sets the limits of all connections from their next request on, and the idle
+// timeout also of those that are idle now; zero fields get defaults.
 func (s *Server) SetLimits(l Limits) {
 	if l.Header == 0 {
 		l.Header = defaultLimits.Header
@@ -59,7 +62,13 @@
 	if l.Idle == 0 {
 		l.Idle = defaultLimits.Idle
 	}
-	s.limits.Store(&l)
+	previous := s.limits.Swap(&l)
+	if previous == nil || previous.Idle == l.Idle {
+		return
+	}
+	for _, c := range s.openConns() {
+		c.renewIdleDeadline()
+	}
 }
 
 // Serve accepts connections on the listener, which it owns. It returns nil
@@ -162,11 +171,13 @@
 		_ = l.Close()
 	}
 	s.listeners = nil
-	out := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		out = append(out, c)
-	}
-	return out
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+func (s *Server) openConns() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
 }
 
 // Connections returns the number of open connections.
--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -252,6 +252,35 @@
 	}
 }
 
+// TestIdleLimitChanges guards against a connection that was idle when the limits changed
+// and is closed by the earlier timeout: too early, or long after the new one.
+func TestIdleLimitChanges(t *testing.T) {
+	const short, long = 100 * time.Millisecond, testTimeout
+	for _, c := range []struct {
+		name          string
+		before, after time.Duration
+		closed        bool
+	}{
+		{"raised", short, long, false},
+		{"lowered", long, short, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			f := startServer(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
+			f.SetLimits(Limits{Idle: c.before})
+			conn, in := f.dial(t)
+			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+			is.NoErr(err)
+			readResponse(t, in)
+			time.Sleep(short / 2)
+			f.SetLimits(Limits{Idle: c.after})
+			_ = conn.SetReadDeadline(time.Now().Add(3 * short))
+			_, err = in.ReadByte()
+			is.Equal(err == io.EOF, c.closed)
+		})
+	}
+}
+
 // TestMalformedBehindClosingResponse guards against a refusal of a malformed request that
 // follows a response with "Connection: close".
 func TestMalformedBehindClosingResponse(t *testing.T) {
--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -52,6 +52,8 @@
 	closingWhenIdle bool
 	// awaitingRequest is set while no byte of the next request has been read.
 	awaitingRequest bool
+	// idleSince is when the connection last became idle.
+	idleSince time.Time
 }
 
 func newConn(s *Server, nc net.Conn) *conn {
@@ -150,14 +152,29 @@
 	if c.readStopped || c.closingWhenIdle && c.inFlight == 0 && c.in.Buffered() == 0 {
 		return false
 	}
-	deadline := time.Time{}
 	if c.inFlight == 0 {
-		deadline = time.Now().Add(c.server.limits.Load().Idle)
+		c.beginIdle()
+		return true
 	}
-	_ = c.SetReadDeadline(deadline)
+	_ = c.SetReadDeadline(time.Time{})
 	return true
 }
 
+// beginIdle starts the idle timeout; c.mu is held.
+func (c *conn) beginIdle() {
+	c.idleSince = time.Now()
+	_ = c.SetReadDeadline(c.idleSince.Add(c.server.limits.Load().Idle))
+}
+
+// renewIdleDeadline applies a changed idle timeout to a connection that is idle.
+func (c *conn) renewIdleDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaitingRequest && c.inFlight == 0 && !c.readStopped && !c.closingWhenIdle {
+		_ = c.SetReadDeadline(c.idleSince.Add(c.server.limits.Load().Idle))
+	}
+}
+
 // closeWhenIdle closes the connection as soon as it is idle.
 func (c *conn) closeWhenIdle() {
 	c.mu.Lock()
@@ -265,7 +282,7 @@
 			_ = c.SetReadDeadline(time.Unix(1, 0))
 		}
 	case c.awaitingRequest:
-		_ = c.SetReadDeadline(time.Now().Add(c.server.limits.Load().Idle))
+		c.beginIdle()
 	}
 }
 
