Take memory for large bodies as their bytes arrive

A peer that declared a length and sent nothing held that much memory for the whole attempt: three servers that declared 16 MiB and sent no byte brought an entry to 308 MB (limit 544 MB), and callers can do the same with the bodies of their requests.

Cause: the buffer was allocated and counted by the declared length. Bodies over 1 MiB now grow with what arrives, at most twofold; smaller ones are still allocated at once.

TestDeclaredLength failed before for a large body of which nothing or a part arrived.

--- a/internal/driver/body.go
+++ b/internal/driver/body.go
@@ -19,6 +19,9 @@
 	maxBufferedResponse = 256 << 10
 	// maxBufferedTotal bounds the buffered bodies of all requests and responses together, in bytes.
 	maxBufferedTotal = 256 << 20
+	// largeBody is the size from which a body is large, in bytes. The memory for a large body
+	// is taken as its bytes arrive, since a peer may declare a length and send nothing.
+	largeBody = 1 << 20
 	// readChunkSize is the chunk size in which a body of unknown length is read, in bytes.
 	readChunkSize = 32 << 10
 	// defaultStallTimeout ends a transfer that moves no byte for this long.
@@ -54,22 +57,27 @@
 // known. It returns io.EOF at the end of r. It stops early with
 // errMemoryLimit, and the bytes read until then stay buffered.
 func (b *bodyBuffer) read(r io.Reader, size, limit int64) error {
-	if size >= 0 && size <= limit {
+	known := size >= 0 && size <= limit
+	if known && size <= largeBody {
 		return b.readFull(r, size)
 	}
+	if known {
+		limit = size
+	}
 	for int64(len(b.body)) < limit {
-		chunk := min(readChunkSize, limit-int64(len(b.body)))
-		n, err := b.readChunk(r, chunk)
-		if errors.Is(err, io.EOF) {
-			return io.EOF
-		}
-		if err != nil {
+		n, err := b.readChunk(r, limit)
+		switch {
+		case errors.Is(err, io.EOF) && known:
+			return io.ErrUnexpectedEOF
+		case err != nil:
 			return err
-		}
-		if n == 0 {
+		case n == 0:
 			return io.ErrNoProgress
 		}
 	}
+	if known {
+		return io.EOF
+	}
 	return nil
 }
 
@@ -88,19 +96,22 @@
 	return io.EOF
 }
 
-func (b *bodyBuffer) readChunk(r io.Reader, size int64) (int, error) {
-	if int64(cap(b.body)-len(b.body)) < size {
-		grown := max(int64(cap(b.body))*2, int64(len(b.body))+size)
+// readChunk reads a part of a body of at most limit bytes.
+func (b *bodyBuffer) readChunk(r io.Reader, limit int64) (int, error) {
+	length := int64(len(b.body))
+	size := min(readChunkSize, limit-length)
+	if int64(cap(b.body))-length < size {
+		grown := min(max(int64(cap(b.body))*2, length+size), limit)
 		if !b.budget.reserve(grown - b.reserved) {
 			return 0, errMemoryLimit
 		}
 		b.reserved = grown
-		body := make([]byte, len(b.body), grown)
+		body := make([]byte, length, grown)
 		copy(body, b.body)
 		b.body = body
 	}
-	n, err := io.ReadAtLeast(r, b.body[len(b.body):int64(len(b.body))+size], 1)
-	b.body = b.body[:len(b.body)+n]
+	n, err := io.ReadAtLeast(r, b.body[length:length+size], 1)
+	b.body = b.body[:length+int64(n)]
 	return n, err
 }
 
--- a/internal/driver/body_test.go
+++ b/internal/driver/body_test.go
@@ -65,6 +65,47 @@
 	}
 }
 
+// TestDeclaredLength guards against memory that is taken for bytes which a peer has only
+// declared, and against a body that is changed or truncated while its buffer grows.
+func TestDeclaredLength(t *testing.T) {
+	const size = 5<<20 + 3
+	body := make([]byte, size)
+	for i := range body {
+		body[i] = byte(i >> 10)
+	}
+	for _, c := range []struct {
+		name     string
+		size     int64
+		received int64
+		err      error
+	}{
+		{"empty", 0, 0, io.EOF},
+		{"small", 1000, 1000, io.EOF},
+		{"not large", largeBody, largeBody, io.EOF},
+		{"large", largeBody + 1, largeBody + 1, io.EOF},
+		{"larger", size, size, io.EOF},
+		{"small, truncated", 1000, 999, io.ErrUnexpectedEOF},
+		{"larger, nothing received", size, 0, io.ErrUnexpectedEOF},
+		{"larger, truncated", size, 2 << 20, io.ErrUnexpectedEOF},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			budget := memoryBudget{limit: 1 << 30}
+			b := bodyBuffer{budget: &budget}
+			err := b.read(bytes.NewReader(body[:c.received]), c.size, 16<<20)
+			is.Equal(err, c.err)
+			if err == io.EOF {
+				is.True(bytes.Equal(b.body, body[:c.size]))
+			}
+			is.Equal(budget.used.Load(), b.reserved)
+			is.True(b.reserved <= max(largeBody, 2*c.received))
+			is.True(int64(cap(b.body)) <= b.reserved)
+			b.release()
+			is.Equal(budget.used.Load(), int64(0))
+		})
+	}
+}
+
 // TestMemoryLimit guards against buffered bodies that exceed the memory limit, and
 // against idempotent requests that fail although their body and the response could
 // be streamed.
