Leave memory to small bodies while others send without end

At full speed the process peaked at 430 of 544 MB.

Cause: one budget for all buffered bodies, of which each may take 16 MiB. The counter bodies_rejected_total shows bodies without room.

--- a/internal/acceptor/acceptor_test.go
+++ b/internal/acceptor/acceptor_test.go
@@ -276,7 +276,7 @@
 			f.SetLimits(Limits{Idle: c.after})
 			_ = conn.SetReadDeadline(time.Now().Add(3 * short))
 			_, err = in.ReadByte()
-			is.Equal(err == io.EOF, c.closed)
+			is.Equal(errors.Is(err, io.EOF), c.closed)
 		})
 	}
 }
--- a/internal/driver/body.go
+++ b/internal/driver/body.go
@@ -17,109 +17,10 @@
 	maxReplayable = 256 << 10
 	// maxBufferedResponse bounds the part of a response that is buffered before it is relayed, in bytes.
 	maxBufferedResponse = 256 << 10
-	// maxBufferedTotal bounds the buffered bodies of all requests and responses together, in bytes.
-	maxBufferedTotal = 256 << 20
-	// largeBody is the size from which a body is large, in bytes. The memory for a large body
-	// is taken as its bytes arrive, since a peer may declare a length and send nothing.
-	largeBody = 1 << 20
-	// readChunkSize is the chunk size in which a body of unknown length is read, in bytes.
-	readChunkSize = 32 << 10
 	// defaultStallTimeout ends a transfer that moves no byte for this long.
 	defaultStallTimeout = 10 * time.Second
 )
 
-var errMemoryLimit = errors.New("memory limit for buffered bodies reached")
-
-// memoryBudget bounds the bytes of buffered bodies.
-type memoryBudget struct {
-	limit int64
-	used  atomic.Int64
-}
-
-func (m *memoryBudget) reserve(n int64) bool {
-	if m.used.Add(n) <= m.limit {
-		return true
-	}
-	m.used.Add(-n)
-	return false
-}
-
-func (m *memoryBudget) release(n int64) { m.used.Add(-n) }
-
-// bodyBuffer is a body buffered in memory.
-type bodyBuffer struct {
-	budget   *memoryBudget
-	body     []byte
-	reserved int64
-}
-
-// read buffers at most limit bytes of r, whose length is size, or -1 if not
-// known. It returns io.EOF at the end of r. It stops early with
-// errMemoryLimit, and the bytes read until then stay buffered.
-func (b *bodyBuffer) read(r io.Reader, size, limit int64) error {
-	known := size >= 0 && size <= limit
-	if known && size <= largeBody {
-		return b.readFull(r, size)
-	}
-	if known {
-		limit = size
-	}
-	for int64(len(b.body)) < limit {
-		n, err := b.readChunk(r, limit)
-		switch {
-		case errors.Is(err, io.EOF) && known:
-			return io.ErrUnexpectedEOF
-		case err != nil:
-			return err
-		case n == 0:
-			return io.ErrNoProgress
-		}
-	}
-	if known {
-		return io.EOF
-	}
-	return nil
-}
-
-func (b *bodyBuffer) readFull(r io.Reader, size int64) error {
-	if !b.budget.reserve(size) {
-		return errMemoryLimit
-	}
-	b.reserved += size
-	b.body = make([]byte, size)
-	if _, err := io.ReadFull(r, b.body); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
-		}
-		return err
-	}
-	return io.EOF
-}
-
-// readChunk reads a part of a body of at most limit bytes.
-func (b *bodyBuffer) readChunk(r io.Reader, limit int64) (int, error) {
-	length := int64(len(b.body))
-	size := min(readChunkSize, limit-length)
-	if int64(cap(b.body))-length < size {
-		grown := min(max(int64(cap(b.body))*2, length+size), limit)
-		if !b.budget.reserve(grown - b.reserved) {
-			return 0, errMemoryLimit
-		}
-		b.reserved = grown
-		body := make([]byte, length, grown)
-		copy(body, b.body)
-		b.body = body
-	}
-	n, err := io.ReadAtLeast(r, b.body[length:length+size], 1)
-	b.body = b.body[:length+int64(n)]
-	return n, err
-}
-
-func (b *bodyBuffer) release() {
-	b.budget.release(b.reserved)
-	b.reserved = 0
-}
-
 // callerBody is the body of a caller's request. Each read has its own deadline,
 // so that a stalled sender does not hold resources for long, while a long upload
 // may continue.
@@ -176,7 +77,7 @@
 		Reader:  http.MaxBytesReader(w, r.Body, rank.MaxBody),
 		control: http.NewResponseController(w), timeout: d.stallTimeout,
 	}
-	c.buffered.budget = &d.bodyMemory
+	c.buffered = d.bodyMemory.request()
 	if !c.onceOnly && (r.ContentLength < 0 || r.ContentLength > maxReplayable) {
 		return classifier.OK
 	}
--- a/internal/driver/body_test.go
+++ b/internal/driver/body_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/azuretrestle/azuretrestle/internal/faker"
 	"github.com/azuretrestle/azuretrestle/pkg/classifier"
@@ -60,7 +61,7 @@
 			if c.status == http.StatusOK {
 				b.is.True(strings.HasSuffix(r.body, fmt.Sprint(" ", c.size, "\n")))
 			}
-			b.is.Equal(b.driver.bodyMemory.used.Load(), int64(0))
+			b.is.Equal(b.driver.bodyMemory.total.used.Load(), int64(0))
 		})
 	}
 }
@@ -90,18 +91,73 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			budget := memoryBudget{limit: 1 << 30}
-			b := bodyBuffer{budget: &budget}
+			memory := newBodyMemory(1 << 30)
+			b := memory.response()
 			err := b.read(bytes.NewReader(body[:c.received]), c.size, 16<<20)
 			is.Equal(err, c.err)
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				is.True(bytes.Equal(b.body, body[:c.size]))
 			}
-			is.Equal(budget.used.Load(), b.reserved)
+			is.Equal(memory.total.used.Load(), b.reserved)
 			is.True(b.reserved <= max(largeBody, 2*c.received))
 			is.True(int64(cap(b.body)) <= b.reserved)
 			b.release()
-			is.Equal(budget.used.Load(), int64(0))
+			is.Equal(memory.total.used.Load(), int64(0))
+		})
+	}
+}
+
+// endlessReader is a body without end.
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestLargeBodies guards against bodies without end that take all memory, so that the
+// bodies of other requests and responses can't be buffered.
+func TestLargeBodies(t *testing.T) {
+	const limit, maxBody, count = 64 << 20, 16 << 20, 20
+	for _, c := range []struct {
+		name   string
+		buffer func(m *bodyMemory) bodyBuffer
+		// requestLeft is set if large requests still have memory.
+		requestLeft bool
+	}{
+		{"responses", (*bodyMemory).response, true},
+		{"requests", (*bodyMemory).request, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			m := newBodyMemory(limit)
+			var large []bodyBuffer
+			failed := 0
+			for range count {
+				b := c.buffer(m)
+				if err := b.read(endlessReader{}, -1, maxBody); err != nil {
+					is.Equal(err, errMemoryLimit)
+					b.release()
+					failed++
+					continue
+				}
+				large = append(large, b)
+			}
+			is.True(failed > 0)
+			for _, size := range []int64{1, 20 << 10, largeBody / 2} {
+				request, response := m.request(), m.response()
+				is.Equal(request.read(bytes.NewReader(make([]byte, size)), size, maxBody), io.EOF)
+				is.Equal(response.read(bytes.NewReader(make([]byte, size)), -1, maxBody), io.EOF)
+				request.release()
+				response.release()
+			}
+			upload := m.request()
+			err := upload.read(bytes.NewReader(make([]byte, maxBody)), maxBody, maxBody)
+			is.Equal(errors.Is(err, io.EOF), c.requestLeft)
+			upload.release()
+			for i := range large {
+				large[i].release()
+			}
+			for _, b := range []*memoryBudget{&m.total, &m.large, &m.largeResponses} {
+				is.Equal(b.used.Load(), int64(0))
+			}
 		})
 	}
 }
@@ -111,7 +167,7 @@
 // be streamed.
 func TestMemoryLimit(t *testing.T) {
 	b := newTestbed(t, 1, nil)
-	b.driver.bodyMemory.limit = 1000
+	b.driver.bodyMemory = newBodyMemory(1000)
 	body := strings.Repeat("x", 2000)
 	r := b.do(http.MethodPost, "/call/S/Once/first", strings.NewReader(body))
 	b.is.Equal(r.outcome, classifier.OutcomeNotRun)
@@ -120,7 +176,7 @@
 	r = b.do(http.MethodPost, "/call/S/Lookup/x", strings.NewReader(body))
 	b.is.NoErr(r.err)
 	b.is.Equal(len(r.body), 5000)
-	b.is.Equal(b.driver.bodyMemory.used.Load(), int64(0))
+	b.is.Equal(b.driver.bodyMemory.total.used.Load(), int64(0))
 }
 
 // TestOutcomeBeforeNode checks the requests that the driver refuses before the
@@ -129,7 +185,7 @@
 // earlier attempt can have run.
 func TestOutcomeBeforeNode(t *testing.T) {
 	b := newTestbed(t, 1, nil)
-	b.driver.bodyMemory.limit = 1000
+	b.driver.bodyMemory = newBodyMemory(1000)
 	tooLarge := strings.Repeat("x", 8<<20+1)
 	for _, c := range []struct {
 		path, body, deadline string
--- a/internal/driver/caller.go
+++ b/internal/driver/caller.go
@@ -171,7 +171,7 @@
 }
 
 func (c *call) release() {
-	if c.buffered.budget != nil {
+	if c.buffered.memory != nil {
 		c.buffered.release()
 	}
 }
--- a/internal/driver/driver.go
+++ b/internal/driver/driver.go
@@ -27,7 +27,7 @@
 	log        recorder.Log
 	lister     recorder.Lister
 	metrics    *metrics
-	bodyMemory memoryBudget
+	bodyMemory *bodyMemory
 	// codec and store are nil unless the driver runs a managed entry.
 	codec HeaderCodec
 	store Store
@@ -93,7 +93,7 @@
 		limits:       defaultLimits,
 		log:          log,
 		lister:       lister,
-		bodyMemory:   memoryBudget{limit: maxBufferedTotal},
+		bodyMemory:   newBodyMemory(maxBufferedTotal),
 		stallTimeout: defaultStallTimeout,
 		node:         reducer.New(o),
 		calls:        make(map[reducer.RequestID]*call),
--- a/internal/driver/failure_test.go
+++ b/internal/driver/failure_test.go
@@ -67,7 +67,7 @@
 			defer b.driver.mu.Unlock()
 			b.is.Equal(len(b.driver.calls), 0)
 			b.is.Equal(len(b.driver.attempts), 0)
-			b.is.Equal(b.driver.bodyMemory.used.Load(), int64(0))
+			b.is.Equal(b.driver.bodyMemory.total.used.Load(), int64(0))
 		})
 	}
 }
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -61,7 +61,10 @@
 		m.requests, m.latency, m.inFlight, m.storeReads, m.leavingResponses, m.attempts, m.probes, m.probeSeconds, m.stateChanges, m.panics,
 		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		newGaugeFunc("config_version", "Configuration version in force.", func() float64 { return float64(d.version()) }),
-		newGaugeFunc("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.bodyMemory.used.Load()) }),
+		newGaugeFunc("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.bodyMemory.total.used.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: "bodies_rejected_total", Help: "Bodies that the memory for bodies had no room for.",
+		}, func() float64 { return float64(d.bodyMemory.rejected.Load()) }),
 		newGaugeFunc("caller_connections", "Open connections of callers to a managed entry.", func() float64 { return float64(d.callerConnections()) }),
 		newGaugeFunc("upstream_connections", "Open connections to upstreams of a managed entry.", func() float64 { return float64(d.upstreamConnections()) }),
 		newGaugeFunc("open_peers", "Entries that messages were sent to lately.", func() float64 { return float64(d.peers.Stats().Peers) }),
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -75,7 +75,9 @@
 func WithHeaderCodec(c HeaderCodec) Option { return func(d *Driver) { d.codec = c } }
 
 // WithBodyMemory bounds the buffered bodies of all requests and responses together, in bytes.
-func WithBodyMemory(limit int64) Option { return func(d *Driver) { d.bodyMemory.limit = limit } }
+func WithBodyMemory(limit int64) Option {
+	return func(d *Driver) { d.bodyMemory = newBodyMemory(limit) }
+}
 
 // RouteHandler returns the HTTP interface for callers of a managed deployment,
 // whose requests are routed by host and path.
@@ -161,7 +163,7 @@
 	if r.ContentLength > limit {
 		return classifier.BodyTooLarge
 	}
-	c.buffered.budget = &d.bodyMemory
+	c.buffered = d.bodyMemory.request()
 	err := c.buffered.read(r.Body, r.ContentLength, limit+1)
 	switch {
 	case errors.Is(err, io.EOF):
@@ -228,7 +230,7 @@
 	}
 	resp := &response{
 		attempt: a, status: httpResp.StatusCode, header: httpResp.Header,
-		buffered: bodyBuffer{budget: &d.bodyMemory}, size: httpResp.ContentLength, rest: httpResp.Body,
+		buffered: d.bodyMemory.response(), size: httpResp.ContentLength, rest: httpResp.Body,
 	}
 	if req.Method == http.MethodHead {
 		resp.size = 0
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -140,7 +140,7 @@
 	}
 	return tracker, &response{
 		attempt: a, status: httpResp.StatusCode, header: httpResp.Header,
-		buffered: bodyBuffer{budget: &d.bodyMemory}, size: httpResp.ContentLength, rest: httpResp.Body,
+		buffered: d.bodyMemory.response(), size: httpResp.ContentLength, rest: httpResp.Body,
 	}, nil
 }
 
