Log a request that ends without any cause of its connection

A handler that fails for another reason than the end of its connection or of the entry would have panicked again while its line was written.

--- a/internal/driver/requestlog.go
+++ b/internal/driver/requestlog.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -119,7 +118,7 @@
 		message = "request ended before dispatch"
 		if code == classifier.CallerGone {
 			message = "request abandoned"
-			fields = append(fields, zap.String("Cause", d.disconnectCause(c).Error()))
+			fields = append(fields, zap.String("Cause", d.disconnectCause(c)))
 		}
 	}
 	d.logger.Info(message, fields...)
@@ -127,11 +126,16 @@
 
 // disconnectCause returns why a request ended without a reply: the caller closed the
 // connection, or this entry did.
-func (d *Driver) disconnectCause(c *call) error {
-	if err := context.Cause(c.request.Context()); err != nil {
-		return err
+func (d *Driver) disconnectCause(c *call) string {
+	cause := context.Cause(c.request.Context())
+	switch {
+	case cause != nil:
+		return cause.Error()
+	case d.ctx.Err() != nil:
+		return "the entry ended"
+	default:
+		return "the handler failed"
 	}
-	return errors.Wrap(context.Cause(d.ctx), "the entry ended")
 }
 
 func (d *Driver) attemptTraces(c *call) (traces, uint64) {
