Detach a connection from the context of a finished request before its reuse

Beside heavy load, single requests to sound servers failed with ConnectionLost 20 to 40 ms after they were sent, right after a health check on the same connection.

Cause: a response without a body made its connection available as soon as it was read, while the end of the request's context still closed the connection until the goroutine that had sent the request ran again. A health check ends after 25 ms, so a request that took the connection within that time lost it. With a body there was a shorter window of the same kind.

The context is now detached before the connection is handed on; if it has already ended, the connection is not reused.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -78,6 +78,9 @@
 	result  chan result
 	// written receives the result of writing the request.
 	written chan error
+	// detach keeps the end of the request's context from closing the connection; it reports
+	// false if the connection is being closed.
+	detach func() bool
 }
 
 // conn is a connection to an upstream. One goroutine reads from it until it is
@@ -140,10 +143,11 @@
 func (c *conn) roundTrip(req *http.Request, options RoundTripOptions) (*http.Response, error) {
 	ctx := req.Context()
 	x := &exchange{RoundTripOptions: options, request: req, result: make(chan result, 1), written: make(chan error, 1)}
+	x.detach = context.AfterFunc(ctx, c.close)
 	if !c.setPending(x) {
+		x.detach()
 		return nil, errClosed
 	}
-	stop := context.AfterFunc(ctx, c.close)
 	writeErr := c.writeRequest(req)
 	x.written <- writeErr
 	var res result
@@ -151,7 +155,7 @@
 	case res = <-x.result:
 	default:
 		if writeErr != nil && !c.wroteBytes.Load() {
-			stop()
+			x.detach()
 			c.close()
 			return nil, writeErr
 		}
@@ -162,11 +166,10 @@
 		}
 	}
 	if res.err != nil {
-		stop()
+		x.detach()
 		c.close()
 		return nil, res.err
 	}
-	res.response.Body = &responseBody{ReadCloser: res.response.Body, conn: c, stop: stop}
 	return res.response, nil
 }
 
@@ -283,15 +286,15 @@
 		_ = c.SetWriteDeadline(time.Unix(1, 0))
 	}
 	c.idleTimeout = idleTimeout(resp.Header)
-	body := &notifyingBody{ReadCloser: resp.Body, done: make(chan bool, 1)}
+	body := &notifyingBody{ReadCloser: resp.Body, detach: x.detach, done: make(chan bool, 1)}
 	if resp.Body == http.NoBody {
 		body.finish(true)
 	}
 	resp.Body = body
 	x.result <- result{response: resp}
-	atEOF := <-body.done
+	reusable := <-body.done
 	c.mu.Lock()
-	if !atEOF || resp.Close || c.in.Buffered() > 0 || !c.fullySent(x) {
+	if !reusable || resp.Close || c.in.Buffered() > 0 || !c.fullySent(x) {
 		c.ended = true
 	}
 	c.mu.Unlock()
@@ -328,9 +331,13 @@
 	return maxIdleTimeout
 }
 
-// notifyingBody notifies the connection's goroutine when the body was read to its end or closed.
+// notifyingBody notifies the connection's goroutine when the body was read to its end or
+// closed. The request's context is detached first: once the connection is reused, it must
+// not close it any more.
 type notifyingBody struct {
 	io.ReadCloser
+	detach func() bool
+	// done receives whether the connection can be reused.
 	done chan bool
 	once sync.Once
 }
@@ -350,26 +357,9 @@
 	return nil
 }
 
-func (b *notifyingBody) finish(atEOF bool) { b.once.Do(func() { b.done <- atEOF }) }
-
-// responseBody detaches the request's context from the connection at the end of the body.
-type responseBody struct {
-	io.ReadCloser
-	conn *conn
-	stop func() bool
-}
-
-// Read reads from the body; after its end the request's context no longer closes the connection.
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.stop()
-	}
-	return n, err
-}
-
-// Close abandons the rest of the body.
-func (b *responseBody) Close() error {
-	b.stop()
-	return b.ReadCloser.Close()
+func (b *notifyingBody) finish(atEOF bool) {
+	b.once.Do(func() {
+		detached := b.detach()
+		b.done <- atEOF && detached
+	})
 }
