Keep the names on the wire of the new tests in the platform's fakes

The tests of endless responses and of the limits of callers spelled headers and a field of the platform outside platform/. No check has changed.

--- a/internal/commander/entry_endless_test.go
+++ b/internal/commander/entry_endless_test.go
@@ -30,7 +30,7 @@
 // TestEntryEndlessResponse guards against an entry that runs out of memory, or refuses the
 // requests to other services, because the servers of one service send bytes without end.
 func TestEntryEndlessResponse(t *testing.T) {
-	const head = "HTTP/1.1 200 OK\r\nAzuretrestle-Attempt-Id: ID\r\nAzuretrestle-Server-Stamp: s\r\n"
+	const head = faker.SuccessHead
 	const chunked = head + "Transfer-Encoding: chunked\r\n\r\n"
 	kilobyte := strings.Repeat("x", 1<<10)
 	for _, c := range []struct {
@@ -45,8 +45,8 @@
 		{"folded header line", &faker.EndlessServer{Prefix: head + "X: x\r\n", Repeated: " x\r\n"}},
 		{"interim responses", &faker.EndlessServer{Repeated: "HTTP/1.1 100 Continue\r\n\r\n"}},
 		{"body", &faker.EndlessServer{Prefix: head + "\r\n", Repeated: kilobyte}},
-		{"body of a failure", &faker.EndlessServer{Prefix: "HTTP/1.1 500 E\r\nAzuretrestle-Attempt-Id: ID\r\n\r\n", Repeated: kilobyte}},
-		{"body of a refusal", &faker.EndlessServer{Prefix: "HTTP/1.1 503 E\r\nAzuretrestle-Attempt-Id: ID\r\nAzuretrestle-Not-Executed: 1\r\n\r\n", Repeated: kilobyte}},
+		{"body of a failure", &faker.EndlessServer{Prefix: faker.FailureHead + "\r\n", Repeated: kilobyte}},
+		{"body of a refusal", &faker.EndlessServer{Prefix: faker.RefusalHead + "\r\n", Repeated: kilobyte}},
 		{"body beyond any length", &faker.EndlessServer{Prefix: head + "Content-Length: 9223372036854775807\r\n\r\n", Repeated: kilobyte}},
 		{"declared body", &faker.EndlessServer{Prefix: head + "Content-Length: 16777216\r\n\r\n"}},
 		{"chunks", &faker.EndlessServer{Prefix: chunked, Repeated: "400\r\n" + kilobyte + "\r\n"}},
--- a/internal/commander/entry_limits_test.go
+++ b/internal/commander/entry_limits_test.go
@@ -1,7 +1,6 @@
 package commander
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"net/http"
@@ -15,16 +14,6 @@
 	"github.com/azuretrestle/azuretrestle/platform/faker"
 )
 
-// raiseHeaderLimit writes a version of the configuration that allows larger headers.
-func (d *testDeployment) raiseHeaderLimit(version, header int) {
-	document := faker.Document(version, "tickets")
-	raised := bytes.Replace(document, []byte(`"MaxHeaderBytes":16384`), fmt.Appendf(nil, `"MaxHeaderBytes":%d`, header), 1)
-	if bytes.Equal(document, raised) {
-		d.t.Fatal("the document has no limit to raise")
-	}
-	d.store.Put(faker.TopicOperator, "config", raised)
-}
-
 // sendHeader sends a lookup with a header of the given size and returns the status of
 // the response, 0 if there was none.
 func (d *testDeployment) sendHeader(entry, size int, id string) int {
@@ -48,7 +37,7 @@
 	is := is.New(t)
 	d := deploy(t, entries)
 	is.Equal(d.sendHeader(0, size, "before"), http.StatusRequestHeaderFieldsTooLarge)
-	d.raiseHeaderLimit(2, limit)
+	d.store.Put(faker.TopicOperator, "config", faker.LimitedDocument(2, "tickets", limit))
 	for i := range entries {
 		name := fmt.Sprintf("e%d", i)
 		d.wait(name+" with version 2", func() bool { return d.hasVersion(name, 2) })
