Log and count the evidence on which an attempt counts as not run

An attempt that was not sent had the same log line whether no connection could be opened or one was lost, and a refusal by an upstream did not tell whether it named its request.

The line has Connection, Cause and Unnamed now, and azuretrestle_attempts_not_run_total counts the evidence. No decision changes.

TestNotRunEvidence and the extended TestEntryFailureLogLines pass.

--- a/internal/commander/entry_test.go
+++ b/internal/commander/entry_test.go
@@ -273,14 +273,15 @@
 	}
 }
 
-// TestEntryFailureLogLines guards against failed requests whose log line lacks the cause.
+// TestEntryFailureLogLines guards against failed requests whose log line lacks the cause, and
+// against attempts that count as not run without a metric for the evidence.
 func TestEntryFailureLogLines(t *testing.T) {
 	for _, c := range []struct {
 		fault faker.Fault
 		want  []string
 	}{
-		{faker.FaultShed, []string{`"request refused"`, `"Code":"UpstreamRefused"`, `"Outcome":"NotRun"`, `"Result":"NotRun"`}},
-		{faker.FaultReset, []string{`"request failed"`, `"Code":"ConnectionLost"`, `"Outcome":"Unknown"`, `"Result":"Lost"`}},
+		{faker.FaultShed, []string{`"request refused"`, `"Code":"UpstreamRefused"`, `"Outcome":"NotRun"`, `"Result":"NotRun"`, `"Connection":`}},
+		{faker.FaultReset, []string{`"request failed"`, `"Code":"ConnectionLost"`, `"Outcome":"Unknown"`, `"Result":"Lost"`, `"Cause":"read response: `}},
 		{faker.FaultSilent, []string{`"request failed"`, `"Code":"UpstreamTimeout"`, `"Result":"Timeout"`, `"Upstream":"i-`}},
 	} {
 		d := deploy(t, 1)
@@ -300,6 +301,10 @@
 				t.Errorf("no %s in %s", want, line)
 			}
 		}
+		metrics := d.text("http://" + d.entries[0].settings.Metrics.String() + "/metrics")
+		if counted := strings.Contains(metrics, `azuretrestle_attempts_not_run_total{evidence="Stated"}`); counted != (c.fault == faker.FaultShed) {
+			t.Errorf("refusals of the upstream counted: %t", counted)
+		}
 	}
 }
 
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -16,11 +16,13 @@
 const namespace = "azuretrestle"
 
 type metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	latency      *prometheus.HistogramVec
-	inFlight     prometheus.Gauge
-	attempts     *prometheus.CounterVec
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	inFlight prometheus.Gauge
+	attempts *prometheus.CounterVec
+	// notRun counts the attempts that count as not run, by the evidence for that.
+	notRun       *prometheus.CounterVec
 	probes       *prometheus.CounterVec
 	probeSeconds *prometheus.CounterVec
 	stateChanges *prometheus.CounterVec
@@ -46,6 +48,7 @@
 			Namespace: namespace, Name: "requests_in_flight", Help: "Requests in progress.",
 		}),
 		attempts:     newCounterVec("attempts_total", "Attempts by service, upstream and result.", "service", "upstream", "result"),
+		notRun:       newCounterVec("attempts_not_run_total", "Attempts that count as not run, by the evidence for that.", "evidence"),
 		probes:       newCounterVec("probes_total", "Probes of upstreams by service and success.", "service", "ok"),
 		probeSeconds: newCounterVec("probe_seconds_total", "Time spent waiting for probes.", "service"),
 		storeReads:   newCounterVec("store_reads_total", "Reads of the platform's store by topic and success.", "topic", "ok"),
@@ -58,7 +61,7 @@
 		}),
 	}
 	m.registry.MustRegister(
-		m.requests, m.latency, m.inFlight, m.storeReads, m.leavingResponses, m.attempts, m.probes, m.probeSeconds, m.stateChanges, m.panics,
+		m.requests, m.latency, m.inFlight, m.storeReads, m.leavingResponses, m.attempts, m.notRun, m.probes, m.probeSeconds, m.stateChanges, m.panics,
 		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		newGaugeFunc("config_version", "Configuration version in force.", func() float64 { return float64(d.version()) }),
 		newGaugeFunc("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.bodyMemory.total.used.Load()) }),
@@ -117,6 +120,13 @@
 	m.attempts.WithLabelValues(service, upstream, resultLabels[f]).Inc()
 }
 
+// observeNotRun counts an attempt that counts as not run.
+func (m *metrics) observeNotRun(t *attemptTrace) {
+	if evidence := t.notRunEvidence(); evidence != "" {
+		m.notRun.WithLabelValues(evidence).Inc()
+	}
+}
+
 // deleteUpstream deletes the series of an upstream, since those of replaced hosts
 // would otherwise accumulate.
 func (m *metrics) deleteUpstream(service, upstream string) {
--- a/internal/driver/requestlog.go
+++ b/internal/driver/requestlog.go
@@ -15,6 +15,9 @@
 // successSampling is the number of plain successes of which one is logged.
 const successSampling = 100
 
+// resultNotRun is the result of an attempt that the upstream refused as not run.
+const resultNotRun = "NotRun"
+
 // attemptTrace holds what is logged about one attempt. It is guarded by the driver's mu.
 type attemptTrace struct {
 	upstream  string
@@ -28,6 +31,7 @@
 	sent bool
 	// leaving is set if the response said that the upstream is about to stop.
 	leaving bool
+	transfer
 }
 
 func newTrace(e reducer.Dispatch) attemptTrace {
@@ -50,7 +54,7 @@
 	t.result = "Answered"
 	t.status = status
 	if notRun {
-		t.result = "NotRun"
+		t.result = resultNotRun
 	}
 }
 
@@ -71,6 +75,7 @@
 	if t.leaving {
 		enc.AddBool("Leaving", true)
 	}
+	t.transfer.addTo(enc)
 	if !t.endedAt.IsZero() {
 		enc.AddDuration("Took", t.endedAt.Sub(t.startedAt))
 	}
--- a/internal/driver/requestlog_test.go
+++ b/internal/driver/requestlog_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+
+	"github.com/azuretrestle/azuretrestle/internal/dialer"
 )
 
 // TestDisconnectCause guards against a log line that names the caller, or a panic while it
@@ -32,6 +34,30 @@
 	}
 }
 
+// TestNotRunEvidence guards against attempts that count as not run for a reason that the
+// metrics don't tell from others.
+func TestNotRunEvidence(t *testing.T) {
+	for _, c := range []struct {
+		status           dialer.SendStatus
+		refused, unnamed bool
+		want             string
+	}{
+		{dialer.SendStatus{}, false, false, "NotConnected"},
+		{dialer.SendStatus{Connected: true}, false, false, "NotWritten"},
+		{dialer.SendStatus{Connected: true, Reused: true}, false, false, "NotWritten"},
+		{dialer.SendStatus{Connected: true, Bytes: true}, false, false, ""},
+		{dialer.SendStatus{Connected: true, Bytes: true}, true, false, "Stated"},
+		{dialer.SendStatus{Connected: true, Bytes: true}, true, true, "StatedUnnamed"},
+	} {
+		is := is.New(t)
+		trace := attemptTrace{sent: c.status.Bytes, transfer: transfer{connection: connectionOf(c.status), unnamed: c.unnamed}}
+		if c.refused {
+			trace.result = resultNotRun
+		}
+		is.Equal(trace.notRunEvidence(), c.want)
+	}
+}
+
 // endedContext returns a context that has ended with the given cause, or one that has not
 // ended if the cause is nil.
 func endedContext(cause error) context.Context {
--- a/internal/driver/route.go
+++ b/internal/driver/route.go
@@ -224,6 +224,7 @@
 	}()
 	req := d.newRouteRequest(a.ctx, e, a.call)
 	httpResp, sent, err := a.managedPool.RoundTrip(req, d.roundTripOptions(e, a.call)) //nolint:bodyclose // response.close closes it
+	a.transfer = transfer{connection: connectionOf(sent), err: err}
 	if err != nil {
 		d.attemptFailed(e, a, failureOf(e, a, sent.Connected), sent.Bytes)
 		return
@@ -238,6 +239,7 @@
 	err = resp.buffered.read(resp.rest, resp.size, maxRouteResponse)
 	resp.complete = errors.Is(err, io.EOF)
 	if !resp.complete || !d.usable(resp) {
+		a.transfer.err = responseError(resp, err)
 		failure := truncation(failureOf(e, a, true))
 		resp.close()
 		d.attemptFailed(e, a, failure, true)
@@ -246,6 +248,14 @@
 	d.responseReady(e, resp)
 }
 
+// responseError returns why a response can't be relayed; err is how reading it ended.
+func responseError(resp *response, err error) error {
+	if resp.complete {
+		return errUnusable
+	}
+	return err
+}
+
 // namesNoRequest matches responses to health checks, which name no request.
 func (d *Driver) namesNoRequest(r *http.Response, _ bool) bool {
 	return d.codec.ParseResponse(r.StatusCode, r.Header, time.Now()).ID == ""
--- a/internal/driver/upstream.go
+++ b/internal/driver/upstream.go
@@ -47,7 +47,10 @@
 	response *response
 	// managedPool is set in place of pool for a managed entry.
 	managedPool *dialer.Pool
-	trace       attemptTrace
+	// transfer belongs to the goroutine of the attempt, which copies it to trace at the end.
+	transfer transfer
+	// trace is guarded by the driver's mu.
+	trace attemptTrace
 }
 
 // dispatch starts an attempt; d.mu is held.
@@ -166,7 +169,9 @@
 	d.metrics.observeAttempt(e.Service, e.Upstream, f)
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	a.trace.transfer = a.transfer
 	a.trace.end(resultLabels[f], sent)
+	d.metrics.observeNotRun(&a.trace)
 	delete(d.attempts, a.id)
 	if code := a.call.upload.code(); code != classifier.OK && !a.call.ended {
 		out := reducer.Refuse{ID: a.id.Request, Code: code, Outcome: classifier.OutcomeNotRun}
@@ -199,6 +204,7 @@
 		ev.NotRun = head.NotRun
 		ev.Report = head.Report
 		ev.Draining = head.Leaving
+		a.transfer.unnamed = head.ID == ""
 	} else {
 		ev.NotRun = resp.header.Get(headerNotRun) != ""
 		ev.Draining = resp.header.Get(headerDraining) != ""
@@ -216,7 +222,9 @@
 		return
 	}
 	a.response = resp
+	a.trace.transfer = a.transfer
 	a.trace.gotResponse(resp.status, ev.NotRun, ev.Draining)
+	d.metrics.observeNotRun(&a.trace)
 	ev.Stamp = stamp()
 	d.step(ev)
 	if ev.NotRun && a.response != nil && d.attempts[a.id] == a {
