Keep with the exchange whether a request was sent

Cause: whether a byte was sent was a flag of the connection, read when the exchange had ended. A response without a body returns the connection to the pool before that. If the context of the request ends in between, its exchange fails, and the next request on the connection has reset the flag: the attempt counts as not sent, and the request is refused as not run.

The flag belongs to the exchange now, and only the goroutine that writes the request uses it, so that no other request can change it.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -75,7 +74,11 @@
 type exchange struct {
 	RoundTripOptions
 	request *http.Request
-	result  chan result
+	// sent is set unless it is certain that no byte of the request was sent. It belongs to
+	// the exchange, since the connection may serve another request before it is read. Only
+	// the goroutine that writes the request uses it.
+	sent   bool
+	result chan result
 	// written receives the result of writing the request.
 	written chan error
 	// detach keeps the end of the request's context from closing the connection; it reports
@@ -87,10 +90,9 @@
 // closed, so that a close or unexpected bytes are detected while it is idle.
 type conn struct {
 	net.Conn
-	pool       *Pool
-	head       *headLimiter
-	in         *bufio.Reader
-	wroteBytes atomic.Bool
+	pool *Pool
+	head *headLimiter
+	in   *bufio.Reader
 	// reused is set once the connection has carried a request. The goroutine that reads
 	// from the connection sets it between two responses.
 	reused      bool
@@ -111,11 +113,17 @@
 	return &conn{Conn: nc, pool: p, head: head, in: bufio.NewReaderSize(head, bufferSize), idleTimeout: maxIdleTimeout}
 }
 
+// requestWriter writes a request to a connection.
+type requestWriter struct {
+	*conn
+	exchange *exchange
+}
+
 // Write records that bytes of the request may have been sent.
-func (c *conn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
+func (w requestWriter) Write(b []byte) (int, error) {
+	n, err := w.Conn.Write(b)
 	if n > 0 {
-		c.wroteBytes.Store(true)
+		w.exchange.sent = true
 	}
 	return n, err
 }
@@ -129,32 +137,31 @@
 	})
 }
 
-// acquire prepares the connection for a request; it reports false if the connection has ended.
-func (c *conn) acquire() bool {
+// hasEnded reports whether the connection can carry no further request.
+func (c *conn) hasEnded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.ended {
-		return false
-	}
-	c.wroteBytes.Store(false)
-	return true
+	return c.ended
+}
+
+func newExchange(req *http.Request, options RoundTripOptions) *exchange {
+	return &exchange{RoundTripOptions: options, request: req, result: make(chan result, 1), written: make(chan error, 1)}
 }
 
-func (c *conn) roundTrip(req *http.Request, options RoundTripOptions) (*http.Response, error) {
-	ctx := req.Context()
-	x := &exchange{RoundTripOptions: options, request: req, result: make(chan result, 1), written: make(chan error, 1)}
+func (c *conn) roundTrip(x *exchange) (*http.Response, error) {
+	ctx := x.request.Context()
 	x.detach = context.AfterFunc(ctx, c.close)
 	if !c.setPending(x) {
 		x.detach()
 		return nil, errClosed
 	}
-	writeErr := c.writeRequest(req)
+	writeErr := c.writeRequest(x)
 	x.written <- writeErr
 	var res result
 	select {
 	case res = <-x.result:
 	default:
-		if writeErr != nil && !c.wroteBytes.Load() {
+		if writeErr != nil && !x.sent {
 			x.detach()
 			c.close()
 			return nil, writeErr
@@ -185,9 +192,9 @@
 
 // writeRequest writes the request. A failed write does not end the connection,
 // since the response may already have been sent.
-func (c *conn) writeRequest(req *http.Request) error {
-	out := bufio.NewWriterSize(c, bufferSize)
-	if err := req.Write(out); err != nil {
+func (c *conn) writeRequest(x *exchange) error {
+	out := bufio.NewWriterSize(requestWriter{c, x}, bufferSize)
+	if err := x.request.Write(out); err != nil {
 		return err
 	}
 	return out.Flush()
@@ -313,11 +320,8 @@
 
 // reuse returns the connection to the pool; it reports false if the connection can't be reused.
 func (c *conn) reuse() bool {
-	c.mu.Lock()
-	ended := c.ended
-	c.mu.Unlock()
 	c.reused = true
-	return !ended && c.idleTimeout > 0 && c.pool.putIdle(c)
+	return !c.hasEnded() && c.idleTimeout > 0 && c.pool.putIdle(c)
 }
 
 // idleTimeout returns how long a connection may stay idle after a response with these headers.
--- a/internal/dialer/pool.go
+++ b/internal/dialer/pool.go
@@ -96,8 +96,9 @@
 		return nil, sent, err
 	}
 	sent.Connected = true
-	resp, err := c.roundTrip(req, options)
-	sent.Bytes = c.wroteBytes.Load()
+	x := newExchange(req, options)
+	resp, err := c.roundTrip(x)
+	sent.Bytes = x.sent
 	return resp, sent, err
 }
 
@@ -107,7 +108,7 @@
 		if c == nil {
 			break
 		}
-		if c.acquire() {
+		if !c.hasEnded() {
 			return c, SendStatus{Reused: true}, nil
 		}
 	}
@@ -148,7 +149,6 @@
 	}
 	p.opened.Add(1)
 	c := newConn(p, nc)
-	c.acquire()
 	go c.readLoop()
 	return c, nil
 }
