Let one place decide how an exchange with an upstream ends

Cause: the goroutine that reads from the connection delivered a response without regard to the end of the context, and the goroutine of the request drew either when both were there. A response that was dropped in this way was never closed, so that its connection, buffers and goroutine stayed for good. One without a body had returned its connection to the pool, and the request that had dropped it closed the connection under the next one.

Response, error and end of the context now meet in exchange.end: the first one is the result, a response that comes later is closed by the goroutine that read it, and its connection is not used again.

--- a/internal/dialer/conn.go
+++ b/internal/dialer/conn.go
@@ -70,15 +70,18 @@
 	err      error
 }
 
-// exchange is a request in flight.
+// exchange is a request in flight. It ends with what comes first: its response, an error or
+// the end of its context.
 type exchange struct {
 	RoundTripOptions
 	request *http.Request
 	// sent is set unless it is certain that no byte of the request was sent. It belongs to
 	// the exchange, since the connection may serve another request before it is read. Only
 	// the goroutine that writes the request uses it.
-	sent   bool
-	result chan result
+	sent bool
+	// result receives the first result; later ones are dropped.
+	result  chan result
+	endOnce sync.Once
 	// written receives the result of writing the request.
 	written chan error
 	// detach keeps the end of the request's context from closing the connection; it reports
@@ -148,36 +151,38 @@
 	return &exchange{RoundTripOptions: options, request: req, result: make(chan result, 1), written: make(chan error, 1)}
 }
 
+// end ends the exchange with a result, unless it has ended. If it reports false, a response
+// in r still belongs to the caller of end.
+func (x *exchange) end(r result) bool {
+	first := false
+	x.endOnce.Do(func() {
+		first = true
+		x.result <- r
+	})
+	return first
+}
+
 func (c *conn) roundTrip(x *exchange) (*http.Response, error) {
 	ctx := x.request.Context()
-	x.detach = context.AfterFunc(ctx, c.close)
+	x.detach = context.AfterFunc(ctx, func() {
+		x.end(result{err: ctx.Err()})
+		c.close()
+	})
 	if !c.setPending(x) {
 		x.detach()
 		return nil, errClosed
 	}
-	writeErr := c.writeRequest(x)
-	x.written <- writeErr
-	var res result
-	select {
-	case res = <-x.result:
-	default:
-		if writeErr != nil && !x.sent {
-			x.detach()
-			c.close()
-			return nil, writeErr
-		}
-		select {
-		case res = <-x.result:
-		case <-ctx.Done():
-			res.err = ctx.Err()
-		}
+	err := c.writeRequest(x)
+	x.written <- err
+	if err != nil && !x.sent {
+		x.end(result{err: err})
 	}
+	res := <-x.result
 	if res.err != nil {
 		x.detach()
 		c.close()
-		return nil, res.err
 	}
-	return res.response, nil
+	return res.response, res.err
 }
 
 func (c *conn) setPending(x *exchange) bool {
@@ -214,7 +219,7 @@
 			err = c.readResponse(x)
 		}
 		if err != nil {
-			x.result <- result{err: errors.Wrap(err, "read response")}
+			x.end(result{err: errors.Wrap(err, "read response")})
 			c.markEnded()
 			return
 		}
@@ -283,8 +288,8 @@
 	return err
 }
 
-// deliver passes a response to its exchange. A request that is still being
-// written is aborted, and its connection is not reused.
+// deliver passes a response to its exchange, or closes it if the exchange has ended. A
+// request that is still being written is aborted, and its connection is not reused.
 func (c *conn) deliver(x *exchange, resp *http.Response) {
 	c.mu.Lock()
 	c.pending = nil
@@ -298,10 +303,13 @@
 		body.finish(true)
 	}
 	resp.Body = body
-	x.result <- result{response: resp}
+	delivered := x.end(result{response: resp})
+	if !delivered {
+		_ = body.Close()
+	}
 	reusable := <-body.done
 	c.mu.Lock()
-	if !reusable || resp.Close || c.in.Buffered() > 0 || !c.fullySent(x) {
+	if !delivered || !reusable || resp.Close || c.in.Buffered() > 0 || !c.fullySent(x) {
 		c.ended = true
 	}
 	c.mu.Unlock()
