Send a request only once on a connection

Cause: a response belongs to a request if it names the request's id, but the entry may send one request more than once under that id. A server that starts again at its address under another name refuses (421) what is meant for the former name, and the request goes to the new name next: the same address, the same pool and, as a rule, the same connection. If the server writes its refusal once more there, the copy is taken for the response to the second attempt. That attempt runs, and the request is refused with the promise that it has not.

An attempt at an address to which the request was sent before gets a new connection now. A late response to the earlier attempt can't arrive there, so that the id is unambiguous wherever it is read.

TestEntryRefusalUnderFormerName ("a request that ran was answered as not run") and TestConnectionOfRetry failed before.

--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/azuretrestle/azuretrestle/internal/admitter"
@@ -60,6 +62,7 @@
 type attempt struct {
 	id       AttemptID
 	upstream string
+	address  netip.AddrPort
 	slot     *balancer.Attempt
 	open     bool
 	// silenceTimer fires when the connection has to be checked for silence.
@@ -199,20 +202,29 @@
 	a := &attempt{
 		id:       AttemptID{Request: r.id, Number: uint32(len(r.attempts)) + 1},
 		upstream: c.Name,
+		address:  c.Address,
 		slot:     c.Attempt,
 		open:     true,
 	}
+	fresh := c.Fresh || r.wasSentTo(c.Address)
 	r.attempts = append(r.attempts, a)
 	r.service.queue.Started(r.rank.Name)
 	n.emit(Dispatch{
 		Attempt: a.id, Service: r.service.config.Name, Rank: r.rank.Name,
 		Upstream: c.Name, Address: c.Address, Born: c.Born, Connections: c.Connections,
-		Deadline: r.deadline, Fresh: c.Fresh, StoreAnswer: r.once != nil, Known: c.Attempt.Condition,
+		Deadline: r.deadline, Fresh: fresh, StoreAnswer: r.once != nil, Known: c.Attempt.Condition,
 	})
 	n.scheduleHedge(r)
 	n.scheduleSilenceCheck(r, a)
 }
 
+// wasSentTo reports whether an earlier attempt went to an address, where the upstream may
+// have started again under another name. A copy of the response to that attempt may still
+// arrive on its connection, and it names the request as the response to the next one does.
+func (r *request) wasSentTo(address netip.AddrPort) bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.address == address })
+}
+
 func (n *Node) requirements(r *request) balancer.Requirements {
 	requirements := balancer.Requirements{Rank: r.rank.Name, Urgent: r.service.mostUrgent(r.rank), Idempotent: r.idempotent(), Fresh: r.freshConnection}
 	for _, a := range r.attempts {
