Let the soak's servers start again at their address and repeat refusals

Every second crash now ends with a start at the same address under another name while the former registration stands, and every second server writes each refusal once more before its next response on the connection.

--- a/internal/soaker/upstream.go
+++ b/internal/soaker/upstream.go
@@ -24,10 +24,14 @@
 	registrationExpiry = 3 * heartbeatInterval
 	// reuseAfter is the time after a crash until the replacement starts, which may reuse the address.
 	reuseAfter = 2 * time.Second
+	// restartAfter is the time after a crash until the same service starts again at the address.
+	restartAfter = 200 * time.Millisecond
 	// storeRetryInterval is the time between two attempts to write while the store is unavailable.
 	storeRetryInterval = 100 * time.Millisecond
-	upstreamSlots      = 8
-	upstreamWork       = 15 * time.Millisecond
+	// repeatingShare sets the share of upstreams that repeat their refusals: one in repeatingShare.
+	repeatingShare = 2
+	upstreamSlots  = 8
+	upstreamWork   = 15 * time.Millisecond
 )
 
 // upstream is one of the numbered upstreams; drains and crashes replace its current server.
@@ -88,6 +92,9 @@
 		done: make(chan struct{}), state: "ready",
 	}
 	u.current = i
+	if u.number%repeatingShare == 0 {
+		lis = repeatingListener{lis}
+	}
 	u.testbed.work.Go(func() { _ = i.http.Serve(lis) })
 	u.testbed.work.Go(func() { u.sendHeartbeats(i) })
 	return nil
@@ -184,7 +191,8 @@
 }
 
 // crash stops the server abruptly. Another one starts after reuseAfter; if reuse is
-// set, it has the same address and belongs to the other service.
+// set, it has the same address and belongs to the other service. Otherwise every second
+// one has the same address under another name, while the former registration still stands.
 func (u *upstream) crash(reuse bool) {
 	i := u.replaceable()
 	if i == nil {
@@ -199,19 +207,32 @@
 		u.testbed.retry(func() bool { return u.testbed.putRegistration(i.ID, nil) })
 		u.testbed.recorder.departure(i.ID)
 	})
-	u.testbed.sleep(reuseAfter)
-	service, link := i.Service, (*proxy)(nil)
-	if reuse {
-		service, link = oppositeService(service), i.link
-		link.setMode(ModePass)
-	} else {
+	service, link, delay := i.Service, i.link, reuseAfter
+	switch {
+	case reuse:
+		service = oppositeService(service)
+	case u.started()%2 == 0:
+		link = nil
 		i.link.close()
+	default:
+		delay = restartAfter
+	}
+	u.testbed.sleep(delay)
+	if link != nil {
+		link.setMode(ModePass)
 	}
 	if err := u.start(service, link); err != nil {
 		u.testbed.fail(err)
 	}
 }
 
+// started returns the number of servers started so far.
+func (u *upstream) started() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.count
+}
+
 func oppositeService(s string) string {
 	if s == serviceOnce {
 		return serviceOther
