--- a/internal/driver/requestlog.go
+++ b/internal/driver/requestlog.go
@@ -75,7 +75,7 @@
 	if t.leaving {
 		enc.AddBool("Leaving", true)
 	}
-	t.transfer.addTo(enc)
+	t.addTransfer(enc)
 	if !t.endedAt.IsZero() {
 		enc.AddDuration("Took", t.endedAt.Sub(t.startedAt))
 	}
--- a/internal/driver/transfer.go
+++ b/internal/driver/transfer.go
@@ -62,8 +62,8 @@
 	}
 }
 
-// addTo adds what is known of the transfer to a log line.
-func (t *transfer) addTo(enc zapcore.ObjectEncoder) {
+// addTransfer adds what is known of the transfer to a log line.
+func (t *transfer) addTransfer(enc zapcore.ObjectEncoder) {
 	if t.connection != connectionUnknown {
 		enc.AddString("Connection", t.connection.String())
 	}
