Check in the soak what idle entries use, and answer around deadlines

Each run now ends with 10 s without requests; goroutines, open files and heap of each entry at its start, under load and then are printed, and the promise Idle bounds them by the idle connections that are allowed. One in four postings is answered within half a millisecond of its deadline.

--- a/internal/soaker/caller.go
+++ b/internal/soaker/caller.go
@@ -32,6 +32,11 @@
 	maxLargeBody = 256 << 10
 	// largeBodyShare sets the share of large bodies: one in largeBodyShare once-only requests has one.
 	largeBodyShare = 20
+	// lateShare sets the share of requests that are answered around their deadline, which
+	// is between minLateTimeout and maxLateTimeout: one in lateShare once-only requests.
+	lateShare      = 4
+	minLateTimeout = 60 * time.Millisecond
+	maxLateTimeout = 260 * time.Millisecond
 	// staleFactor makes one in staleFactor callers use a directory response for staleFactor
 	// times its validity.
 	staleFactor = 3
@@ -64,7 +69,7 @@
 // run sends requests until the run ends.
 func (c *caller) run() {
 	defer c.client.CloseIdleConnections()
-	for c.testbed.ctx.Err() == nil {
+	for c.testbed.traffic.Err() == nil {
 		if time.Now().After(c.directory.Until) {
 			c.refreshDirectory()
 		}
@@ -117,16 +122,21 @@
 		ID: fmt.Sprintf("c%d-%d", c.number, c.sent), Entry: c.testbed.entryNumber(entry),
 		Method: http.MethodGet, Target: fmt.Sprintf("/read/%d?n=%d", c.number, c.sent),
 	}
+	timeout := callerTimeout
 	if c.random.IntN(3) == 0 {
 		r.Method, r.Target = methodOnce, fmt.Sprintf("/post/%d", c.sent)
 		r.Body = 1 + c.random.IntN(maxBody)
+		if c.random.IntN(lateShare) == 0 {
+			r.Target = fmt.Sprintf("/post%s%d", faker.LatePath, c.sent)
+			timeout = minLateTimeout + time.Duration(c.random.Int64N(int64(maxLateTimeout-minLateTimeout)))
+		}
 		if c.random.IntN(largeBodyShare) == 0 {
 			r.Body = 1 + c.random.IntN(maxLargeBody)
 		}
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	req, err := faker.NewRequest(ctx, r.Method, entry.String(), r.Target, r.ID, callerTimeout)
+	req, err := faker.NewRequest(ctx, r.Method, entry.String(), r.Target, r.ID, timeout)
 	if err != nil {
 		c.testbed.fail(err)
 		return
--- a/internal/soaker/check.go
+++ b/internal/soaker/check.go
@@ -14,7 +14,7 @@
 	var out []Violation
 	for _, check := range []func(*index) []Violation{
 		checkOnce, checkNotRun, checkAnswers, checkAsked, checkDrain, checkVersions, checkReverts,
-		checkStops, checkTimeouts, checkRetries, checkRecovery, checkExits,
+		checkStops, checkTimeouts, checkRetries, checkRecovery, checkExits, checkUsage,
 	} {
 		out = append(out, check(x)...)
 	}
--- a/internal/soaker/check_test.go
+++ b/internal/soaker/check_test.go
@@ -137,6 +137,10 @@
 		"served after the faults":        {"", recovered(1000, 2)},
 		"not served after the faults":    {"Recovery", recovered(1000, 1)},
 		"too early to be served":         {"", recovered(6000, 0)},
+		"idle connections":               {"", Trace{UpstreamCount: 2, Usages: []EntryUsage{{Start: Usage{30, 20, 1 << 20}, Idle: Usage{104, 94, 33 << 20}}}}},
+		"goroutines of no connection":    {"Idle", Trace{UpstreamCount: 2, Usages: []EntryUsage{{Start: Usage{30, 20, 1 << 20}, Idle: Usage{105, 20, 1 << 20}}}}},
+		"files of no connection":         {"Idle", Trace{UpstreamCount: 2, Usages: []EntryUsage{{Start: Usage{30, 20, 1 << 20}, Idle: Usage{30, 95, 1 << 20}}}}},
+		"memory of no request":           {"Idle", Trace{UpstreamCount: 2, Usages: []EntryUsage{{Start: Usage{30, 20, 1 << 20}, Idle: Usage{30, 20, 34 << 20}}}}},
 		"unexpected exit":                {"Exit", Trace{Exits: []Exit{{0, at(0), "exit status 2"}}}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/soaker/process.go
+++ b/internal/soaker/process.go
@@ -50,7 +50,9 @@
 	terminating bool
 	paused      bool
 	closed      bool
-	work        sync.WaitGroup
+	// startUsage is the usage of the process when it became ready.
+	startUsage Usage
+	work       sync.WaitGroup
 }
 
 // newProcess writes the settings of an entry into a folder and creates its log file there.
@@ -126,6 +128,7 @@
 		case <-time.After(readyPollInterval):
 		}
 	}
+	p.recordStartUsage()
 }
 
 // termination describes a process to which a signal that ends it was sent.
--- a/internal/soaker/report.go
+++ b/internal/soaker/report.go
@@ -21,13 +21,14 @@
 	Runs      int
 	Faults    int
 	Versions  int
+	Usages    []EntryUsage
 	startedAt time.Time
 }
 
 func newReport(t *Trace, steps []Step) *Report {
 	r := &Report{
 		Violations: Check(t), Outcomes: make(map[string]int), Requests: len(t.Requests), Runs: len(t.Runs),
-		Faults: len(steps), Versions: len(t.Versions), startedAt: t.Begun,
+		Faults: len(steps), Versions: len(t.Versions), Usages: t.Usages, startedAt: t.Begun,
 	}
 	for _, q := range t.Requests {
 		r.Outcomes[q.outcome()]++
@@ -56,6 +57,9 @@
 		_, _ = fmt.Fprintf(w, " %s %d", name, r.Outcomes[name])
 	}
 	_, _ = fmt.Fprintln(w)
+	for _, u := range r.Usages {
+		_, _ = fmt.Fprintf(w, "entry %d: at its start %+v, under load %+v, idle %+v\n", u.Entry, u.Start, u.Loaded, u.Idle)
+	}
 	for _, v := range r.Violations {
 		_, _ = fmt.Fprintf(w, "BROKEN %s at %.3f: %s\n", v.Promise, v.At.Sub(r.startedAt).Seconds(), v.Detail)
 	}
--- a/internal/soaker/testbed.go
+++ b/internal/soaker/testbed.go
@@ -72,7 +72,10 @@
 
 	ctx    context.Context
 	cancel context.CancelCauseFunc
-	work   sync.WaitGroup
+	// traffic ends when the callers have to stop.
+	traffic     context.Context
+	stopTraffic context.CancelFunc
+	work        sync.WaitGroup
 
 	mu      sync.Mutex
 	version int
@@ -85,12 +88,14 @@
 func Run(ctx context.Context, o Options) (*Report, error) {
 	b := &testbed{Options: o, network: network(os.Getpid()), storeFaults: make(map[faker.StoreFault]int)}
 	b.ctx, b.cancel = context.WithCancelCause(ctx)
+	b.traffic, b.stopTraffic = context.WithCancel(b.ctx)
 	defer b.close()
 	if err := b.start(); err != nil {
 		return nil, err
 	}
 	startedAt := time.Now()
 	b.recorder.trace.Begun = startedAt
+	b.recorder.trace.UpstreamCount = o.Upstreams
 	b.work.Go(b.detectStalls)
 	for i := range o.Callers {
 		b.work.Go(newCaller(b, i).run)
@@ -104,6 +109,7 @@
 	case <-b.ctx.Done():
 		return nil, context.Cause(b.ctx)
 	}
+	b.recordUsage()
 	b.close()
 	return newReport(b.recorder.finish(), steps), nil
 }
--- a/internal/soaker/trace.go
+++ b/internal/soaker/trace.go
@@ -99,6 +99,9 @@
 	Crashes      map[string]time.Time
 	Disturbances []Disturbance
 	Exits        []Exit
+	// UpstreamCount is the number of upstreams, Usages what the entries use of their hosts.
+	UpstreamCount int
+	Usages        []EntryUsage
 }
 
 // undisturbed reports whether no disturbance affected an entry in the settlePeriod before a time.
@@ -178,6 +181,12 @@
 	r.trace.Exits = append(r.trace.Exits, Exit{entry, time.Now(), detail})
 }
 
+func (r *recorder) usage(u EntryUsage) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.trace.Usages = append(r.trace.Usages, u)
+}
+
 // disturb records the beginning of a disturbance; the returned function records its end.
 func (r *recorder) disturb(d Disturbance) (end func()) {
 	r.mu.Lock()
