Test that refusals as not run are true in any order of events

A property test plays arrivals, responses, failures, probes, announcements, documents, registrations, a suspension, disconnects and stops in random order.

--- a/internal/reducer/managed_test.go
+++ b/internal/reducer/managed_test.go
@@ -38,6 +38,8 @@
 	timerDeadline time.Time
 	// lastID is the ID of the last request of sentTo.
 	lastID reducer.RequestID
+	// observe, if not nil, is called with each effect.
+	observe func(reducer.Effect)
 }
 
 func newManagedNode(t *testing.T, seeds ...netip.AddrPort) *managedNode {
@@ -67,6 +69,9 @@
 func (m *managedNode) execute(effects []reducer.Effect) {
 	m.effects = effects
 	for _, e := range effects {
+		if m.observe != nil {
+			m.observe(e)
+		}
 		switch e := e.(type) {
 		case reducer.ReadStore:
 			m.reads[e.Topic] = e
