--- a/internal/reducer/announce.go
+++ b/internal/reducer/announce.go
@@ -40,10 +40,8 @@
 		if ok && opensAt.Before(it.Deadline) {
 			continue
 		}
-		s.queue.Remove(it.ID)
 		r := n.requests[RequestID(it.ID)]
-		r.queued = false
 		r.retryAt = opensAt.Add(time.Duration(n.random.Int64N(int64(replacementDelay))))
-		n.refuseRequest(r, classifier.NoUpstream)
+		n.refuseWaiting(r, classifier.NoUpstream)
 	}
 }
--- a/internal/reducer/once.go
+++ b/internal/reducer/once.go
@@ -169,6 +169,13 @@
 	n.emit(Refuse{ID: r.id, Code: code, Outcome: r.outcome(), Waiting: r.service.queue.Waiting(), Due: r.due, RetryAt: r.retryAt})
 }
 
+// refuseWaiting takes a request off its queue, if it is there, and refuses it.
+func (n *Node) refuseWaiting(r *request, code classifier.Code) {
+	r.service.queue.Remove(uint64(r.id))
+	r.queued = false
+	n.refuseRequest(r, code)
+}
+
 // onceRefuse ends a request that got no response. If its claim holds the grant for
 // the key and none of its own attempts may have run, no attempt with the key has run
 // on any entry. If the key may have been sent before, that outcome is stored as its
--- a/internal/reducer/preflight.go
+++ b/internal/reducer/preflight.go
@@ -132,7 +132,7 @@
 func (n *Node) refuseSaturated(r *request) {
 	spread := max(int64(r.rank.Target.Duration/retrySpreadDivisor), 1)
 	r.retryAt = n.now.Add(minRetryDelay + time.Duration(n.random.Int64N(spread)))
-	n.refuseRequest(r, classifier.QueueFull)
+	n.refuseWaiting(r, classifier.QueueFull)
 }
 
 // launch dispatches an attempt that needs no further probe, unless the deadline has passed
--- a/internal/reducer/request.go
+++ b/internal/reducer/request.go
@@ -148,9 +148,7 @@
 func (n *Node) dispatchWaiting(s *service) {
 	var skipped []admitter.Item
 	for _, it := range s.queue.EvictLate(n.now) {
-		r := n.requests[RequestID(it.ID)]
-		r.queued = false
-		n.refuseRequest(r, classifier.DeadlineUnreachable)
+		n.refuseWaiting(n.requests[RequestID(it.ID)], classifier.DeadlineUnreachable)
 	}
 	n.refuseUnservable(s)
 	n.refuseEndingAfterStop(s)
@@ -161,14 +159,10 @@
 		}
 		r := n.requests[RequestID(it.ID)]
 		if !n.now.Before(r.deadline) {
-			s.queue.Remove(it.ID)
-			r.queued = false
-			n.refuseRequest(r, classifier.DeadlinePassed)
+			n.refuseWaiting(r, classifier.DeadlinePassed)
 			continue
 		}
 		if n.usedUpProbes(r) && n.missesTarget(r) {
-			s.queue.Remove(it.ID)
-			r.queued = false
 			n.refuseSaturated(r)
 			continue
 		}
--- a/internal/reducer/stop.go
+++ b/internal/reducer/stop.go
@@ -153,10 +153,7 @@
 		if !n.endsAfterStop(s, it.Rank) {
 			continue
 		}
-		s.queue.Remove(it.ID)
-		r := n.requests[RequestID(it.ID)]
-		r.queued = false
-		n.refuseRequest(r, classifier.EntryStopping)
+		n.refuseWaiting(n.requests[RequestID(it.ID)], classifier.EntryStopping)
 	}
 }
 
