--- a/internal/acceptor/conn.go
+++ b/internal/acceptor/conn.go
@@ -163,6 +163,11 @@
 // beginIdle starts the idle timeout; c.mu is held.
 func (c *conn) beginIdle() {
 	c.idleSince = time.Now()
+	c.setIdleDeadline()
+}
+
+// setIdleDeadline sets the end of the idle timeout; c.mu is held.
+func (c *conn) setIdleDeadline() {
 	_ = c.SetReadDeadline(c.idleSince.Add(c.server.limits.Load().Idle))
 }
 
@@ -171,7 +176,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.awaitingRequest && c.inFlight == 0 && !c.readStopped && !c.closingWhenIdle {
-		_ = c.SetReadDeadline(c.idleSince.Add(c.server.limits.Load().Idle))
+		c.setIdleDeadline()
 	}
 }
 
@@ -291,11 +296,9 @@
 	var timeout net.Error
 	status := 0
 	switch {
-	case errors.Is(err, errConnClosing):
-		return
 	case errors.Is(err, errHeaderTooLarge):
 		status = http.StatusRequestHeaderFieldsTooLarge
-	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, context.Canceled):
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), errors.Is(err, context.Canceled), errors.Is(err, errConnClosing):
 	case errors.As(err, &timeout) && timeout.Timeout():
 		// A connection that is idle, is to be closed or sends its header too slowly is closed without a response.
 		return
--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -65,8 +65,8 @@
 		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 		newGaugeFunc("config_version", "Configuration version in force.", func() float64 { return float64(d.version()) }),
 		newGaugeFunc("held_body_bytes", "Bytes of bodies held in memory.", func() float64 { return float64(d.bodyMemory.total.used.Load()) }),
-		newRejectedBodiesCounter("small", func() uint64 { return d.bodyMemory.rejectedSmall() }),
-		newRejectedBodiesCounter("large", func() uint64 { return d.bodyMemory.rejectedLarge() }),
+		newRejectedBodiesCounter("small", d.bodyMemory.rejectedSmall),
+		newRejectedBodiesCounter("large", d.bodyMemory.rejectedLarge),
 		newGaugeFunc("caller_connections", "Open connections of callers to a managed entry.", func() float64 { return float64(d.callerConnections()) }),
 		newGaugeFunc("upstream_connections", "Open connections to upstreams of a managed entry.", func() float64 { return float64(d.upstreamConnections()) }),
 		newGaugeFunc("open_peers", "Entries that messages were sent to lately.", func() float64 { return float64(d.peers.Stats().Peers) }),
@@ -87,17 +87,18 @@
 }
 
 func newRejectedBodiesCounter(size string, f func() uint64) prometheus.Collector {
-	return prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Namespace: namespace, Name: "bodies_rejected_total", Help: "Bodies that the memory for bodies had no room for.",
-		ConstLabels: prometheus.Labels{"size": size},
-	}, func() float64 { return float64(f()) })
+	return newLabelledCounter("bodies_rejected_total", "Bodies that the memory for bodies had no room for.", "size", size, f)
 }
 
-func newPeerCounter(d *Driver, kind string, f func(messenger.Stats) uint64) prometheus.Collector {
+func newPeerCounter(d *Driver, fate string, f func(messenger.Stats) uint64) prometheus.Collector {
+	return newLabelledCounter("peer_messages_total", "Peer messages by fate.", "fate", fate, func() uint64 { return f(d.peers.Stats()) })
+}
+
+// newLabelledCounter returns a counter with one label whose value a function returns.
+func newLabelledCounter(name, help, label, value string, f func() uint64) prometheus.Collector {
 	return prometheus.NewCounterFunc(prometheus.CounterOpts{
-		Namespace: namespace, Name: "peer_messages_total", Help: "Peer messages by fate.",
-		ConstLabels: prometheus.Labels{"fate": kind},
-	}, func() float64 { return float64(f(d.peers.Stats())) })
+		Namespace: namespace, Name: name, Help: help, ConstLabels: prometheus.Labels{label: value},
+	}, func() float64 { return float64(f()) })
 }
 
 // observeRequest records the result and the duration of a request. The service and rank are empty if
