Let one fault alone replace a server of the soak

Its goroutines after 4.5 minutes: testbed.close waits for http.Server.Serve of one upstream, whose server is no upstream's current one.

Cause: a drain and a crash could find the same server before either had marked it, and each started another one; only the last of them was closed at the end. Marking the server now claims it.

TestOneReplacement plays two faults that find one server: before, both went on (markDone told no one apart).

--- a/internal/soaker/soak_test.go
+++ b/internal/soaker/soak_test.go
@@ -59,3 +59,23 @@
 	is.NoErr(u.start(serviceOnce, nil))
 	is.Equal(u.count, 1)
 }
+
+// TestOneReplacement guards against a server that two faults replace at the same time. One
+// of the new servers was never closed, and runs of seeds 2040 and 3238 did not end.
+func TestOneReplacement(t *testing.T) {
+	is := is.New(t)
+	b := &testbed{network: network(os.Getpid()), storeFaults: make(map[faker.StoreFault]int)}
+	b.ctx, b.cancel = context.WithCancelCause(context.Background())
+	defer b.close()
+	for number := range 2 {
+		u := &upstream{testbed: b, number: number}
+		b.upstreams = append(b.upstreams, u)
+		is.NoErr(u.start(serviceOnce, nil))
+	}
+	// Two faults find the same server before either has marked it.
+	first, second := b.upstreams[0].replaceable(), b.upstreams[0].replaceable()
+	is.Equal(first, second)
+	is.True(first.markDone())
+	is.True(!second.markDone())
+	is.Equal(b.upstreams[0].claim(), nil)
+}
--- a/internal/soaker/upstream.go
+++ b/internal/soaker/upstream.go
@@ -122,7 +122,26 @@
 	return u.testbed.putRegistration(i.ID, i.Registration(i.state, i.sequence))
 }
 
-func (i *instance) markDone() { i.once.Do(func() { close(i.done) }) }
+// markDone marks the server as stopped or draining; it reports false if it was already.
+func (i *instance) markDone() bool {
+	first := false
+	i.once.Do(func() {
+		first = true
+		close(i.done)
+	})
+	return first
+}
+
+// claim marks the current server as done and returns it, so that one fault alone replaces
+// it: the server that another one starts in its place would never be closed. It returns nil
+// if the server can't be replaced.
+func (u *upstream) claim() *instance {
+	i := u.replaceable()
+	if i == nil || !i.markDone() {
+		return nil
+	}
+	return i
+}
 
 // replaceable returns the current server if another server of its service remains, else nil.
 func (u *upstream) replaceable() *instance {
@@ -160,11 +179,10 @@
 // drain starts a new server and drains the old one. If silently is set, it removes the
 // old server's registration without announcing the drain.
 func (u *upstream) drain(silently bool) {
-	i := u.replaceable()
+	i := u.claim()
 	if i == nil {
 		return
 	}
-	i.markDone()
 	if err := u.start(i.Service, nil); err != nil {
 		u.testbed.fail(err)
 		return
@@ -194,11 +212,10 @@
 // set, it has the same address and belongs to the other service. Otherwise every second
 // one has the same address under another name, while the former registration still stands.
 func (u *upstream) crash(reuse bool) {
-	i := u.replaceable()
+	i := u.claim()
 	if i == nil {
 		return
 	}
-	i.markDone()
 	u.testbed.recorder.crash(i.ID)
 	_ = i.http.Close()
 	i.link.setMode(ModeReset)
@@ -245,7 +262,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if u.current != nil {
-		u.current.markDone()
+		_ = u.current.markDone()
 		_ = u.current.http.Close()
 		u.current.link.close()
 	}
