--- a/internal/driver/metrics.go
+++ b/internal/driver/metrics.go
@@ -60,6 +60,10 @@
 			Namespace: namespace, Name: "panics_total", Help: "Panics recovered.",
 		}),
 	}
+	for _, evidence := range []string{evidenceStated, evidenceStatedUnnamed, evidenceNotConnected, evidenceNotWritten} {
+		// A series that exists from the start shows that nothing was counted yet.
+		m.notRun.WithLabelValues(evidence)
+	}
 	m.registry.MustRegister(
 		m.requests, m.latency, m.inFlight, m.storeReads, m.leavingResponses, m.attempts, m.notRun, m.probes, m.probeSeconds, m.stateChanges, m.panics,
 		nodeCollector{d}, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
--- a/internal/driver/transfer.go
+++ b/internal/driver/transfer.go
@@ -46,19 +46,27 @@
 	}
 }
 
+// Evidence on which an attempt counts as not run.
+const (
+	evidenceStated        = "Stated"
+	evidenceStatedUnnamed = "StatedUnnamed"
+	evidenceNotConnected  = "NotConnected"
+	evidenceNotWritten    = "NotWritten"
+)
+
 // notRunEvidence returns why an attempt counts as not run, empty if it does not.
 func (t *attemptTrace) notRunEvidence() string {
 	switch {
 	case t.result == resultNotRun && t.unnamed:
-		return "StatedUnnamed"
+		return evidenceStatedUnnamed
 	case t.result == resultNotRun:
-		return "Stated"
+		return evidenceStated
 	case t.sent:
 		return ""
 	case t.connection == connectionNone:
-		return "NotConnected"
+		return evidenceNotConnected
 	default:
-		return "NotWritten"
+		return evidenceNotWritten
 	}
 }
 
